--- /dev/null
+++ b/crates/config/src/snapshot.rs
@@ -0,0 +1,342 @@
+//! All objects at one revision.
+
+use std::sync::Arc;
+
+use base::{
+    ByteSize, ChangeId, KeyHash, Labels, ModelName, Name, Revision, SortedMap, TargetName, TeamName,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Change, ChangeError, Draft, DraftItem, Kind, Object, ObjectKey, PlacementObject, RouteObject,
+    TargetObject, TeamObject, Write,
+};
+
+/// Largest number of replicas that a placement may ask for.
+const MAX_COPIES: u32 = 10_000;
+
+/// An object with the revision of its last change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versioned {
+    /// Revision of the last change.
+    pub revision: Revision,
+    /// The object.
+    pub object: Arc<Object>,
+}
+
+/// A model or adapter as routing and placement see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Servable<'a> {
+    /// Name that callers use.
+    pub name: &'a ModelName,
+    /// Labels of the model or adapter.
+    pub labels: &'a Labels,
+    /// Memory on a target, without the base model.
+    pub memory: ByteSize,
+    /// Base model, for an adapter.
+    pub base: Option<&'a ModelName>,
+}
+
+/// All objects at one revision, with the indexes that requests need.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    revision: Revision,
+    last_change: Option<ChangeId>,
+    objects: SortedMap<ObjectKey, Versioned>,
+    teams_by_key: SortedMap<KeyHash, Vec<TeamName>>,
+}
+
+impl Snapshot {
+    /// Creates a snapshot from objects that were read at one revision.
+    pub fn new(
+        revision: Revision,
+        last_change: Option<ChangeId>,
+        objects: impl IntoIterator<Item = Versioned>,
+    ) -> Snapshot {
+        let objects = objects.into_iter().map(|v| (v.object.key(), v)).collect();
+        let teams_by_key = index_keys(&objects);
+        Snapshot { revision, last_change, objects, teams_by_key }
+    }
+
+    /// Returns the revision.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the identifier of the change that made this revision.
+    pub fn last_change(&self) -> Option<&ChangeId> {
+        self.last_change.as_ref()
+    }
+
+    /// Iterates over all objects in the order of their keys.
+    pub fn objects(&self) -> impl Iterator<Item = &Versioned> {
+        self.objects.values()
+    }
+
+    /// Iterates over the objects of one kind.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Versioned> {
+        self.objects.range_by(|key| key.kind.cmp(&kind)).iter().map(|(_, versioned)| versioned)
+    }
+
+    /// Returns one object.
+    pub fn get(&self, key: &ObjectKey) -> Option<&Versioned> {
+        self.objects.get(key)
+    }
+
+    /// Decides whether `draft` is acceptable on this revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an object is not at the revision named in the draft, when a value is invalid
+    /// or refers to something missing, and when the draft is empty.
+    pub fn plan(&self, draft: &Draft) -> Result<Change, ChangeError> {
+        if draft.items.is_empty() {
+            return Err(ChangeError::Empty);
+        }
+        let writes: Vec<Write> =
+            draft.items.iter().map(|item| self.plan_item(item)).collect::<Result<_, _>>()?;
+        let change = Change {
+            revision: Revision(self.revision.0 + 1),
+            id: draft.id.clone(),
+            actor: draft.actor.clone(),
+            wall_ms: draft.wall_ms,
+            writes,
+        };
+        let next = self.apply(&change)?;
+        change.writes.iter().try_for_each(|write| next.check_write(write))?;
+        Ok(change)
+    }
+
+    /// Returns the snapshot that `change` makes of this one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change does not follow this revision.
+    pub fn apply(&self, change: &Change) -> Result<Snapshot, ChangeError> {
+        if change.revision.0 != self.revision.0 + 1 {
+            let (change, snapshot) = (change.revision, self.revision);
+            return Err(ChangeError::OutOfOrder { change, snapshot });
+        }
+        let mut objects = self.objects.clone();
+        for write in &change.writes {
+            match &write.after {
+                Some(object) => {
+                    let object = Arc::new(object.clone());
+                    let versioned = Versioned { revision: change.revision, object };
+                    objects.insert(write.key.clone(), versioned);
+                }
+                None => {
+                    objects.remove(&write.key);
+                }
+            }
+        }
+        let touches_keys = change.writes.iter().any(|write| write.key.kind == Kind::Key);
+        let teams_by_key =
+            if touches_keys { index_keys(&objects) } else { self.teams_by_key.clone() };
+        let last_change = Some(change.id.clone());
+        Ok(Snapshot { revision: change.revision, last_change, objects, teams_by_key })
+    }
+
+    /// Returns the team for which a key stands, if both exist.
+    pub fn team_of_key(&self, hash: &KeyHash) -> Option<&TeamName> {
+        let teams = self.teams_by_key.get(hash)?;
+        teams.iter().find(|team| self.team(team).is_some())
+    }
+
+    /// Returns a team.
+    pub fn team(&self, name: &TeamName) -> Option<&TeamObject> {
+        match self.object(Kind::Team, name.as_str())? {
+            Object::Team(team) => Some(team),
+            _ => None,
+        }
+    }
+
+    /// Returns a target.
+    pub fn target(&self, name: &TargetName) -> Option<&TargetObject> {
+        match self.object(Kind::Target, name.as_str())? {
+            Object::Target(target) => Some(target),
+            _ => None,
+        }
+    }
+
+    /// Iterates over the targets.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetObject> {
+        self.of_kind(Kind::Target).filter_map(|v| match &*v.object {
+            Object::Target(target) => Some(target),
+            _ => None,
+        })
+    }
+
+    /// Iterates over the teams.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamObject> {
+        self.of_kind(Kind::Team).filter_map(|v| match &*v.object {
+            Object::Team(team) => Some(team),
+            _ => None,
+        })
+    }
+
+    /// Returns a model or adapter by the name that callers use.
+    pub fn servable(&self, name: &ModelName) -> Option<Servable<'_>> {
+        let object = self
+            .object(Kind::Model, name.as_str())
+            .or_else(|| self.object(Kind::Adapter, name.as_str()))?;
+        to_servable(object)
+    }
+
+    /// Iterates over models and adapters.
+    pub fn servables(&self) -> impl Iterator<Item = Servable<'_>> {
+        self.objects.values().filter_map(|v| to_servable(&v.object))
+    }
+
+    /// Returns whether `team` may use `model`.
+    pub fn permits(&self, team: &TeamName, model: &ModelName) -> bool {
+        let (Some(team), Some(model)) = (self.team(team), self.servable(model)) else {
+            return false;
+        };
+        self.of_kind(Kind::Access).any(|v| match &*v.object {
+            Object::Access(rule) => {
+                rule.teams.matches(&team.labels) && rule.models.matches(model.labels)
+            }
+            _ => false,
+        })
+    }
+
+    /// Returns whether `team` may use `route`; `None` stands for a caller without a key.
+    pub fn permits_route(&self, team: Option<&TeamName>, route: &RouteObject) -> bool {
+        match team.and_then(|team| self.team(team)) {
+            Some(team) => route.open || route.teams.matches(&team.labels),
+            None => route.open && team.is_none(),
+        }
+    }
+
+    /// Returns the most replicas of base model `model` over the fleet: the largest number among
+    /// the placements that select it.
+    pub fn copies(&self, model: &ModelName) -> u32 {
+        self.placements(model).map(|rule| rule.copies).max().unwrap_or(0)
+    }
+
+    /// Returns whether a replica of base model `model` may run on `target`.
+    pub fn may_place(&self, model: &ModelName, target: &TargetObject) -> bool {
+        target.kind == crate::TargetKind::Engine
+            && self.placements(model).any(|rule| rule.targets.matches(&target.labels))
+    }
+
+    /// Returns the route with the longest prefix of `path`.
+    pub fn route_of(&self, path: &str) -> Option<&RouteObject> {
+        let routes = self.of_kind(Kind::Route).filter_map(|v| match &*v.object {
+            Object::Route(route) => Some(route),
+            _ => None,
+        });
+        routes.filter(|r| path.starts_with(&r.prefix)).max_by_key(|r| r.prefix.len())
+    }
+
+    /// Returns a route by name.
+    pub fn route(&self, name: &Name) -> Option<&RouteObject> {
+        match self.object(Kind::Route, name.as_str())? {
+            Object::Route(route) => Some(route),
+            _ => None,
+        }
+    }
+
+    fn placements(&self, model: &ModelName) -> impl Iterator<Item = &PlacementObject> {
+        let labels = self.servable(model).map(|model| model.labels.clone());
+        self.of_kind(Kind::Placement).filter_map(move |v| match &*v.object {
+            Object::Placement(rule) => {
+                labels.as_ref().is_some_and(|labels| rule.models.matches(labels)).then_some(rule)
+            }
+            _ => None,
+        })
+    }
+
+    fn object(&self, kind: Kind, name: &str) -> Option<&Object> {
+        self.objects.get(&ObjectKey { kind, name: name.to_owned() }).map(|v| &*v.object)
+    }
+
+    fn plan_item(&self, item: &DraftItem) -> Result<Write, ChangeError> {
+        let key = item.key.clone();
+        let before = self.objects.get(&key);
+        let actual = before.map(|v| v.revision).unwrap_or_default();
+        if let Some(expected) = item.based_on.filter(|expected| *expected != actual) {
+            return Err(ChangeError::Conflict { key, expected, actual });
+        }
+        if item.object.is_none() && before.is_none() {
+            return Err(ChangeError::Missing(key));
+        }
+        if item.object.as_ref().is_some_and(|object| object.key() != key) {
+            let reason = "the object's kind or name differs from its key".to_owned();
+            return Err(ChangeError::Invalid { key, reason });
+        }
+        let before = before.map(|v| (*v.object).clone());
+        Ok(Write { key, before, after: item.object.clone() })
+    }
+
+    fn check_write(&self, write: &Write) -> Result<(), ChangeError> {
+        let Some(object) = &write.after else { return Ok(()) };
+        self.check_object(object)
+            .map_err(|reason| ChangeError::Invalid { key: write.key.clone(), reason })
+    }
+
+    fn check_object(&self, object: &Object) -> Result<(), String> {
+        let require =
+            |holds: bool, reason: &str| if holds { Ok(()) } else { Err(reason.to_owned()) };
+        let same_name = |kind, name: &ModelName| self.object(kind, name.as_str()).is_some();
+        match object {
+            Object::Team(team) => {
+                require(team.weight > 0, "weight must be at least 1")?;
+                require(team.burst.0 > 0, "burst must be at least 1")
+            }
+            Object::Key(key) => require(self.team(&key.team).is_some(), "its team does not exist"),
+            Object::Model(model) => {
+                require(model.memory.0 > 0, "memory must be at least 1 byte")?;
+                require(!same_name(Kind::Adapter, &model.name), "an adapter has the same name")
+            }
+            Object::Adapter(adapter) => {
+                require(same_name(Kind::Model, &adapter.base), "its base model does not exist")?;
+                require(!same_name(Kind::Model, &adapter.name), "a model has the same name")
+            }
+            Object::Access(_) => Ok(()),
+            Object::Placement(rule) => {
+                require(rule.copies <= MAX_COPIES, "copies must be at most 10000")
+            }
+            Object::Target(target) => {
+                let address = target.address.as_str().parse::<std::net::SocketAddr>();
+                require(address.is_ok(), "address must have the form ip:port")?;
+                require(target.slots > 0, "slots must be at least 1")
+            }
+            Object::Route(route) => {
+                let valid = route.prefix.starts_with('/') && route.prefix.ends_with('/');
+                require(valid, "prefix must begin and end with a slash")?;
+                require(!route.prefix.starts_with("/v1/"), "prefix must not lie under /v1/")?;
+                require(route.deadline_ms > 0, "deadline_ms must be at least 1")
+            }
+        }
+    }
+}
+
+fn to_servable(object: &Object) -> Option<Servable<'_>> {
+    match object {
+        Object::Model(model) => Some(Servable {
+            name: &model.name,
+            labels: &model.labels,
+            memory: model.memory,
+            base: None,
+        }),
+        Object::Adapter(adapter) => Some(Servable {
+            name: &adapter.name,
+            labels: &adapter.labels,
+            memory: adapter.memory,
+            base: Some(&adapter.base),
+        }),
+        _ => None,
+    }
+}
+
+fn index_keys(objects: &SortedMap<ObjectKey, Versioned>) -> SortedMap<KeyHash, Vec<TeamName>> {
+    let mut index: SortedMap<KeyHash, Vec<TeamName>> = SortedMap::default();
+    for versioned in objects.values() {
+        if let Object::Key(key) = &*versioned.object {
+            index.entry(key.hash, Vec::new).push(key.team.clone());
+        }
+    }
+    index
+}
--- /dev/null
+++ b/crates/gate/src/caller.rs
@@ -0,0 +1,527 @@
+//! Callers' interface.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{RequestId, ResultCode, SecretKey, TokenCount};
+use bytes::Bytes;
+use config::Snapshot;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, AUTHORIZATION, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use node::{Event, NewRequest, RequestEnd, RequestGoal};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::body::{read, streamed, ReplyBody};
+use crate::exchange::{
+    exchange, ExchangeEnd, StreamAnswer, StreamPiece, TargetRequest, WholeAnswer,
+};
+use crate::link::{GateCommand, NodeLink};
+use crate::metrics::GateMetrics;
+use crate::parse::{contains, has_key_parameter, used_tokens, ModelRequest};
+use crate::reply;
+
+/// Paths that go to model engines.
+const MODEL_PATHS: [&str; 3] = ["/v1/chat/completions", "/v1/completions", "/v1/embeddings"];
+/// Headers that are passed on to targets; all others, credentials among them, are not.
+const PASSED_HEADERS: [&str; 6] = [
+    "content-type",
+    "accept",
+    "accept-language",
+    "idempotency-key",
+    "traceparent",
+    "x-mangodeal-priority",
+];
+const DEADLINE_HEADER: &str = "x-mangodeal-deadline-ms";
+const PRIORITY_HEADER: &str = "x-mangodeal-priority";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+/// Longest idempotency key.
+const MAX_IDEMPOTENCY_BYTES: usize = 256;
+/// Events of a stream that wait for a slow caller.
+const STREAM_QUEUE: usize = 16;
+
+/// Settings of a [`CallerGate`].
+#[derive(Clone, Debug)]
+pub struct GateConfig {
+    /// Largest request body.
+    pub max_body: usize,
+    /// Longest time for receiving a request's head, and its body.
+    pub receive_timeout: Duration,
+    /// Deadline of model requests that name none.
+    pub deadline: Duration,
+    /// Text that makes request identifiers unique over the fleet.
+    pub id_prefix: String,
+}
+
+impl Default for GateConfig {
+    fn default() -> Self {
+        GateConfig {
+            max_body: 8 << 20,
+            receive_timeout: Duration::from_secs(10),
+            deadline: Duration::from_secs(30),
+            id_prefix: "local".to_owned(),
+        }
+    }
+}
+
+/// Serves callers.
+#[derive(Clone)]
+pub struct CallerGate {
+    link: NodeLink,
+    config: Arc<GateConfig>,
+    metrics: GateMetrics,
+}
+
+/// A request that was read and understood.
+struct ReadRequest {
+    spec: NewRequest,
+    target: TargetRequest,
+}
+
+/// A refusal before the node was asked, with a detail for the caller.
+struct EarlyRefusal(ResultCode, Option<String>);
+
+impl From<ResultCode> for EarlyRefusal {
+    fn from(code: ResultCode) -> EarlyRefusal {
+        EarlyRefusal(code, None)
+    }
+}
+
+impl CallerGate {
+    /// Creates a gate.
+    pub fn new(link: NodeLink, config: GateConfig) -> CallerGate {
+        CallerGate { link, config: Arc::new(config), metrics: GateMetrics::default() }
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &GateMetrics {
+        &self.metrics
+    }
+
+    /// Serves connections until `shutdown` ends, then finishes the requests that are running.
+    pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
+        let graceful = GracefulShutdown::new();
+        let mut shutdown = std::pin::pin!(shutdown);
+        loop {
+            let stream = tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => {
+                        // Out of file descriptors: connections that end free some.
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                        continue;
+                    }
+                },
+                () = &mut shutdown => break,
+            };
+            let _ = stream.set_nodelay(true);
+            let gate = self.clone();
+            let service = service_fn(move |request| {
+                let gate = gate.clone();
+                async move { Ok::<_, Infallible>(gate.handle(request).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(self.config.receive_timeout)
+                .serve_connection(TokioIo::new(stream), service);
+            let connection = graceful.watch(connection);
+            tokio::spawn(async move {
+                let _ = connection.await;
+            });
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let started = std::time::Instant::now();
+        let path = request.uri().path().to_owned();
+        if request.method() == Method::GET && (path == "/healthz" || path == "/readyz") {
+            return self.health(&path).await;
+        }
+        let (response, id) = match self.read(request).await {
+            Ok(Read::Models(response)) => return response,
+            Ok(Read::Request(read)) => {
+                let id = read.spec.id;
+                (self.run(*read).await, Some(id))
+            }
+            Err(EarlyRefusal(code, detail)) => (reply::error(code, detail.as_deref(), None), None),
+        };
+        let mut response = response;
+        if let Some(id) = id {
+            reply::mark(&mut response, id);
+        }
+        self.metrics.answered(response.status().as_u16(), started.elapsed());
+        response
+    }
+
+    async fn health(&self, path: &str) -> Response<ReplyBody> {
+        let ready = self.link.query(|node, _| node.is_ready()).await;
+        match (path, ready) {
+            ("/healthz", Some(_)) | ("/readyz", Some(true)) => {
+                reply::text_reply(200, "text/plain", "ok\n")
+            }
+            _ => reply::error(ResultCode::NotReady, None, None),
+        }
+    }
+
+    async fn read(&self, request: Request<Incoming>) -> Result<Read, EarlyRefusal> {
+        let (head, body) = request.into_parts();
+        let query = head.uri.query().unwrap_or_default();
+        let key = presented_key(&head.headers)?;
+        let uri = head.uri.to_string();
+        let key_text = key.as_ref().map_or("", SecretKey::reveal);
+        if has_key_parameter(query) || contains(uri.as_bytes(), key_text.as_bytes()) {
+            return Err(ResultCode::KeyInUrl.into());
+        }
+        let snapshot = self.link.snapshot();
+        let path = head.uri.path().to_owned();
+        if path == "/v1/models" && head.method == Method::GET {
+            return Ok(Read::Models(models(&snapshot, key.as_ref())));
+        }
+        let engine = MODEL_PATHS.contains(&path.as_str());
+        if engine && head.method != Method::POST {
+            return Err(EarlyRefusal(ResultCode::BadRequest, Some("use POST".to_owned())));
+        }
+        let route = if engine { None } else { snapshot.route_of(&path) };
+        if !engine && route.is_none() {
+            return Err(ResultCode::NotFound.into());
+        }
+        let headers = passed_headers(&head.headers);
+        let body = read(body, self.config.max_body, self.config.receive_timeout).await?;
+        let leaks = |bytes: &[u8]| contains(bytes, key_text.as_bytes());
+        if leaks(&body) || headers.values().any(|value| leaks(value.as_bytes())) {
+            let detail = "the request repeats its key outside the Authorization header";
+            return Err(EarlyRefusal(ResultCode::BadRequest, Some(detail.to_owned())));
+        }
+        let default = match route {
+            Some(route) => Duration::from_millis(route.deadline_ms),
+            None => self.config.deadline,
+        };
+        let id = self.link.next_request();
+        let mut spec = NewRequest {
+            id,
+            key: key.as_ref().map(SecretKey::hash),
+            goal: RequestGoal::Route("_".parse().map_err(|_| ResultCode::BadRequest)?),
+            cost: TokenCount::ZERO,
+            deadline: self.link.now() + deadline(&head.headers, default)?,
+            priority: priority(&head.headers)?,
+            idempotency: None,
+            idempotent: true,
+        };
+        let mut target_path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        match route {
+            Some(route) => {
+                let safe = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
+                spec.goal = RequestGoal::Route(route.name.clone());
+                spec.cost = if route.open { TokenCount::ZERO } else { route.cost };
+                spec.idempotent = route.idempotent || safe;
+                if !spec.idempotent {
+                    spec.idempotency = idempotency(&head.headers)?;
+                }
+                target_path = format!("/{}", &target_path[route.prefix.len()..]);
+            }
+            None => {
+                let model: ModelRequest = serde_json::from_slice(&body).map_err(|error| {
+                    EarlyRefusal(ResultCode::BadRequest, Some(error.to_string()))
+                })?;
+                spec.cost = model.cost(&path, body.len());
+                spec.goal = RequestGoal::Model(model.model);
+                let _ = model.stream;
+            }
+        }
+        let target = TargetRequest {
+            method: head.method,
+            path: target_path,
+            headers,
+            body,
+            id: format!("{}-{id}", self.config.id_prefix),
+            engine,
+        };
+        Ok(Read::Request(Box::new(ReadRequest { spec, target })))
+    }
+
+    /// Follows the node's commands until the request has its answer.
+    async fn run(&self, read: ReadRequest) -> Response<ReplyBody> {
+        let ReadRequest { spec, target } = read;
+        let (deadline, cost) = (spec.deadline, spec.cost);
+        let mut guard = RequestGuard::new(self.link.clone(), spec.id, cost);
+        let mut commands = self.link.request(spec);
+        while let Some(command) = commands.recv().await {
+            let order = match command {
+                GateCommand::Dispatch(order) => order,
+                GateCommand::Refuse(refusal) => {
+                    guard.done();
+                    return reply::error(refusal.code, None, refusal.retry_after);
+                }
+                GateCommand::Cancel(code) => {
+                    guard.end(RequestEnd::Cancelled(cost));
+                    return reply::error(code, None, None);
+                }
+            };
+            guard.running = true;
+            let time_left = deadline.since(self.link.now());
+            let exchange = exchange(&order.address, target.clone(), time_left);
+            let end = tokio::select! {
+                end = exchange => end,
+                code = cancelled(&mut commands) => {
+                    guard.end(RequestEnd::Cancelled(cost));
+                    return reply::error(code, None, None);
+                }
+            };
+            match end {
+                ExchangeEnd::NotSent => guard.retry(RequestEnd::NotSent),
+                ExchangeEnd::Declined => guard.retry(RequestEnd::Declined),
+                ExchangeEnd::Lost => guard.retry(RequestEnd::Lost),
+                ExchangeEnd::TimedOut => guard.retry(RequestEnd::TimedOut),
+                ExchangeEnd::Whole(answer) => {
+                    guard.end(RequestEnd::Served(answer.used.unwrap_or(cost)));
+                    return whole_reply(answer);
+                }
+                ExchangeEnd::Stream(answer) => {
+                    return self.stream_reply(*answer, guard, commands, target.body.len());
+                }
+            }
+        }
+        guard.done();
+        reply::error(ResultCode::NotReady, None, None)
+    }
+
+    fn stream_reply(
+        &self,
+        answer: StreamAnswer,
+        guard: RequestGuard,
+        commands: mpsc::UnboundedReceiver<GateCommand>,
+        body_bytes: usize,
+    ) -> Response<ReplyBody> {
+        let content_type = answer.content_type.clone();
+        let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
+        tokio::spawn(pass_stream(answer, guard, commands, sender, body_bytes));
+        let chunks = futures::stream::unfold(receiver, |mut receiver| async move {
+            receiver.recv().await.map(|chunk| (Ok(chunk), receiver))
+        });
+        let mut response = Response::new(streamed(chunks));
+        if let Some(content_type) = content_type {
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+        }
+        set_served(&mut response);
+        response
+    }
+}
+
+/// What a caller asked for.
+enum Read {
+    Models(Response<ReplyBody>),
+    Request(Box<ReadRequest>),
+}
+
+/// Tells the node when a request's exchange ends, even by the caller's disconnection, which drops
+/// the exchange.
+struct RequestGuard {
+    link: NodeLink,
+    id: RequestId,
+    cost: TokenCount,
+    running: bool,
+    finished: bool,
+}
+
+impl RequestGuard {
+    fn new(link: NodeLink, id: RequestId, cost: TokenCount) -> RequestGuard {
+        RequestGuard { link, id, cost, running: false, finished: false }
+    }
+
+    /// The transmission ended, and the node decides what follows.
+    fn retry(&mut self, end: RequestEnd) {
+        self.running = false;
+        self.link.event(Event::Ended(self.id, end));
+    }
+
+    /// The transmission ended for good.
+    fn end(&mut self, end: RequestEnd) {
+        self.finished = true;
+        self.link.event(Event::Ended(self.id, end));
+    }
+
+    /// The node itself ended the request.
+    fn done(&mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        // The request may have moved between the node's queue and a target meanwhile, so both
+        // are told; the node ignores the one that does not apply.
+        if self.running {
+            self.link.event(Event::Ended(self.id, RequestEnd::CallerGone(self.cost)));
+        }
+        self.link.event(Event::Abandoned(self.id));
+    }
+}
+
+async fn cancelled(commands: &mut mpsc::UnboundedReceiver<GateCommand>) -> ResultCode {
+    loop {
+        match commands.recv().await {
+            Some(GateCommand::Cancel(code)) => return code,
+            Some(_) => {}
+            // The daemon ends; the exchange is left to finish by itself.
+            None => std::future::pending::<()>().await,
+        }
+    }
+}
+
+/// Passes a streamed answer on to the caller, whole events only.
+async fn pass_stream(
+    mut answer: StreamAnswer,
+    mut guard: RequestGuard,
+    mut commands: mpsc::UnboundedReceiver<GateCommand>,
+    sender: mpsc::Sender<Bytes>,
+    body_bytes: usize,
+) {
+    let prompt = (body_bytes as u64).div_ceil(4);
+    let mut reported = None;
+    let mut events = std::mem::take(&mut answer.first);
+    let end = loop {
+        for event in events.drain(..) {
+            reported = usage_of(&event).or(reported);
+            if sender.send(event).await.is_err() {
+                break;
+            }
+        }
+        let piece = tokio::select! {
+            biased;
+            code = cancelled(&mut commands) => Err(code),
+            () = sender.closed() => break RequestEnd::CallerGone(TokenCount::ZERO),
+            piece = answer.next() => Ok(piece),
+        };
+        match piece {
+            Ok(StreamPiece::Events(more)) => events = more,
+            Ok(StreamPiece::Whole) => break RequestEnd::Served(TokenCount::ZERO),
+            Ok(StreamPiece::Broken) => {
+                let _ = sender.send(error_event(ResultCode::BrokenAnswer)).await;
+                break RequestEnd::Broken(TokenCount::ZERO);
+            }
+            Err(code) => {
+                let _ = sender.try_send(error_event(code));
+                break RequestEnd::Cancelled(TokenCount::ZERO);
+            }
+        }
+    };
+    let used = reported.unwrap_or(TokenCount(prompt + answer.splitter.events()));
+    guard.end(match end {
+        RequestEnd::Served(_) => RequestEnd::Served(used),
+        RequestEnd::Broken(_) => RequestEnd::Broken(used),
+        RequestEnd::CallerGone(_) => RequestEnd::CallerGone(used),
+        _ => RequestEnd::Cancelled(used),
+    });
+}
+
+fn usage_of(event: &Bytes) -> Option<TokenCount> {
+    if !contains(event, b"\"usage\"") {
+        return None;
+    }
+    let text = std::str::from_utf8(event).ok()?;
+    text.lines().find_map(|line| used_tokens(line.strip_prefix("data:")?.as_bytes()))
+}
+
+fn error_event(code: ResultCode) -> Bytes {
+    Bytes::from(format!("data: {}\n\n", reply::error_json(code, None)))
+}
+
+fn whole_reply(answer: WholeAnswer) -> Response<ReplyBody> {
+    let mut response = Response::new(crate::body::full(answer.body));
+    *response.status_mut() = answer.status;
+    if let Some(content_type) = answer.content_type {
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    set_served(&mut response);
+    response
+}
+
+fn set_served(response: &mut Response<ReplyBody>) {
+    let headers = response.headers_mut();
+    headers.insert(reply::CODE_HEADER, ResultCode::Served.number().into());
+    headers.insert(
+        reply::RAN_HEADER,
+        hyper::header::HeaderValue::from_static(ResultCode::Served.ran()),
+    );
+}
+
+/// Returns the models that the caller's team may use.
+fn models(snapshot: &Snapshot, key: Option<&SecretKey>) -> Response<ReplyBody> {
+    let team = key.and_then(|key| snapshot.team_of_key(&key.hash()));
+    let Some(team) = team else { return reply::error(ResultCode::KeyRejected, None, None) };
+    let permitted = snapshot.servables().filter(|model| snapshot.permits(team, model.name));
+    let data: Vec<_> = permitted
+        .map(|model| json!({"id": model.name, "object": "model", "owned_by": "mangodeal"}))
+        .collect();
+    reply::json_reply(200, &json!({"object": "list", "data": data}))
+}
+
+fn presented_key(headers: &HeaderMap) -> Result<Option<SecretKey>, EarlyRefusal> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        let detail = "more than one Authorization header".to_owned();
+        return Err(EarlyRefusal(ResultCode::BadRequest, Some(detail)));
+    }
+    let text = value.to_str().map_err(|_| ResultCode::KeyRejected)?;
+    let (scheme, key) = text.split_once(' ').ok_or(ResultCode::KeyRejected)?;
+    if !scheme.eq_ignore_ascii_case("bearer") || key.trim().is_empty() {
+        return Err(ResultCode::KeyRejected.into());
+    }
+    Ok(Some(SecretKey::new(key.trim())))
+}
+
+fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = HeaderMap::new();
+    for name in PASSED_HEADERS {
+        if let Some(value) = headers.get(name) {
+            passed.insert(HeaderName::from_static(name), value.clone());
+        }
+    }
+    passed
+}
+
+fn deadline(headers: &HeaderMap, default: Duration) -> Result<Duration, EarlyRefusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(default) };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let deadline = millis.map(Duration::from_millis).filter(|span| *span <= MAX_DEADLINE);
+    deadline.ok_or_else(|| {
+        let detail = format!("{DEADLINE_HEADER} must be a number of milliseconds up to 3600000");
+        EarlyRefusal(ResultCode::BadRequest, Some(detail))
+    })
+}
+
+fn priority(headers: &HeaderMap) -> Result<i32, EarlyRefusal> {
+    let Some(value) = headers.get(PRIORITY_HEADER) else { return Ok(0) };
+    let number = value.to_str().ok().and_then(|text| text.parse::<i32>().ok());
+    number.filter(|number| (-100..=100).contains(number)).ok_or_else(|| {
+        let detail = format!("{PRIORITY_HEADER} must be an integer from -100 to 100");
+        EarlyRefusal(ResultCode::BadRequest, Some(detail))
+    })
+}
+
+/// Returns the hash of the caller's idempotency key, since the key itself may be sensitive.
+fn idempotency(headers: &HeaderMap) -> Result<Option<String>, EarlyRefusal> {
+    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else { return Ok(None) };
+    if value.is_empty() || value.len() > MAX_IDEMPOTENCY_BYTES {
+        let detail = format!("{IDEMPOTENCY_HEADER} must have 1 to {MAX_IDEMPOTENCY_BYTES} bytes");
+        return Err(EarlyRefusal(ResultCode::BadRequest, Some(detail)));
+    }
+    let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
+    Ok(Some(SecretKey::new(text).hash().to_string()))
+}
--- /dev/null
+++ b/crates/gate/src/sse.rs
@@ -0,0 +1,73 @@
+//! Server-sent events: whole events out of arbitrary chunks.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Splits a stream into whole events, so that a caller never receives a part of one.
+///
+/// # Example
+///
+/// ```
+/// use mango_gate::EventSplitter;
+/// let mut splitter = EventSplitter::default();
+/// assert!(splitter.push(b"data: a\n").unwrap().is_empty());
+/// let events = splitter.push(b"\ndata: [DO").unwrap();
+/// assert_eq!(&events[0][..], b"data: a\n\n");
+/// assert!(!splitter.is_done());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    events: u64,
+    done: bool,
+}
+
+impl EventSplitter {
+    /// Adds a chunk and returns the events that it completes; `None` when an event is too large
+    /// or follows the end of the stream.
+    pub fn push(&mut self, chunk: &[u8]) -> Option<Vec<Bytes>> {
+        self.buffer.extend_from_slice(chunk);
+        let mut events = Vec::new();
+        while let Some(end) = event_end(&self.buffer) {
+            let event = self.buffer.split_to(end).freeze();
+            if self.done {
+                return None;
+            }
+            self.done = is_done(&event);
+            self.events += u64::from(!self.done);
+            events.push(event);
+        }
+        (self.buffer.len() <= MAX_EVENT_BYTES).then_some(events)
+    }
+
+    /// Returns whether the stream's own end mark, `[DONE]`, was received.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Returns whether a part of an event is waiting for its end.
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Returns the number of events without the end mark.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+}
+
+fn event_end(buffer: &[u8]) -> Option<usize> {
+    let plain = buffer.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let crlf = buffer.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (plain, crlf) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn is_done(event: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(event);
+    text.lines().any(|line| line.strip_prefix("data:").is_some_and(|data| data.trim() == "[DONE]"))
+}
--- /dev/null
+++ b/crates/gate/src/target.rs
@@ -0,0 +1,139 @@
+//! Calls to targets other than callers' requests: orders and reports.
+
+use std::time::Duration;
+
+use base::Name;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use place::{OrderKind, OrderMessage, OrderOutcome, TargetReport};
+use serde::Serialize;
+use tokio::net::TcpStream;
+
+use crate::parse::parse_load;
+
+/// How long an order or a report may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection to a target may take.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_REPORT_BYTES: usize = 4 << 20;
+
+#[derive(Serialize)]
+struct OrderJson<'a> {
+    order: u64,
+    fence: u64,
+    model: &'a str,
+    base: Option<&'a str>,
+    memory: u64,
+}
+
+impl<'a> From<&'a OrderMessage> for OrderJson<'a> {
+    fn from(message: &'a OrderMessage) -> OrderJson<'a> {
+        OrderJson {
+            order: message.id.0,
+            fence: message.fence.0,
+            model: message.model.as_str(),
+            base: message.base.as_ref().map(|base| base.as_str()),
+            memory: message.memory.0,
+        }
+    }
+}
+
+/// Sends orders to targets and reads their reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TargetClient;
+
+impl TargetClient {
+    /// Sends an order, once.
+    pub async fn order(&self, address: &Name, message: &OrderMessage) -> OrderOutcome {
+        let path = match message.kind {
+            OrderKind::Load => "/orders/load",
+            OrderKind::Unload => "/orders/unload",
+        };
+        let body = serde_json::to_vec(&OrderJson::from(message)).unwrap_or_default();
+        let Some(stream) = connect(address).await else { return OrderOutcome::NotSent };
+        let call = call(stream, address, Method::POST, path, body.into());
+        match tokio::time::timeout(CALL_TIMEOUT, call).await {
+            Ok(Some((200..=299, _))) => OrderOutcome::Accepted,
+            Ok(Some((409, _))) => OrderOutcome::Refused,
+            _ => OrderOutcome::Unknown,
+        }
+    }
+
+    /// Reads a target's report; `None` when it does not answer. A load figure that can't be read
+    /// counts as zero.
+    pub async fn report(&self, address: &Name) -> Option<TargetReport> {
+        let replicas = self.get(address, "/orders/replicas").await?;
+        let mut report: TargetReport = parse_report(&replicas)?;
+        if let Some(metrics) = self.get(address, "/metrics").await {
+            let load = parse_load(&String::from_utf8_lossy(&metrics));
+            (report.running, report.waiting) = (load.running, load.waiting);
+        }
+        Some(report)
+    }
+
+    async fn get(&self, address: &Name, path: &str) -> Option<Bytes> {
+        let stream = connect(address).await?;
+        let call = call(stream, address, Method::GET, path, Bytes::new());
+        match tokio::time::timeout(CALL_TIMEOUT, call).await {
+            Ok(Some((200, body))) => Some(body),
+            _ => None,
+        }
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct ReportJson {
+    boot: u64,
+    replicas: Vec<place::ReplicaReport>,
+    orders: Vec<base::OrderId>,
+}
+
+fn parse_report(bytes: &[u8]) -> Option<TargetReport> {
+    let json: ReportJson = serde_json::from_slice(bytes).ok()?;
+    let ReportJson { boot, replicas, orders } = json;
+    Some(TargetReport { boot, replicas, orders, running: 0, waiting: 0 })
+}
+
+/// Connects to a target.
+pub(crate) async fn connect(address: &Name) -> Option<TcpStream> {
+    let connecting = TcpStream::connect(address.as_str());
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    Some(stream)
+}
+
+async fn call(
+    stream: TcpStream,
+    address: &Name,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Option<(u16, Bytes)> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let _driver = AbortOnDrop(tokio::spawn(async move {
+        let _ = connection.await;
+    }));
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.as_str())
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
+
+/// Ends a connection's task with the exchange that it serves.
+pub(crate) struct AbortOnDrop(pub(crate) tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/crates/grant/src/roster.rs
@@ -0,0 +1,154 @@
+//! The seats of one failure domain and the units that each holds.
+
+use std::fmt;
+
+use base::{Address, Incarnation, Seat, SortedMap};
+use serde::{Deserialize, Serialize};
+
+/// Units of every team's allowance.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Units(pub u32);
+
+impl Units {
+    /// No unit.
+    pub const ZERO: Units = Units(0);
+    /// All units of the fleet.
+    pub const TOTAL: Units = Units(1 << 20);
+
+    /// Returns the part of [`Units::TOTAL`] that each of `domains` failure domains has.
+    pub fn of_domain(domains: usize) -> Units {
+        Units(Units::TOTAL.0 / u32::try_from(domains.max(1)).unwrap_or(u32::MAX))
+    }
+}
+
+impl fmt::Display for Units {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.0, Units::TOTAL.0)
+    }
+}
+
+/// One seat in a roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatEntry {
+    /// Incarnation that holds the units.
+    pub incarnation: Incarnation,
+    /// Units held.
+    pub units: Units,
+}
+
+/// A change of a roster, to be recorded by compare-and-swap.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RosterStep {
+    /// The seat enters, or replaces a former incarnation at its address and keeps its units.
+    Join(Seat),
+    /// The seat takes units that nobody holds.
+    Take(Seat, Units),
+    /// The first seat, which must have stopped using the units, gives them to the second.
+    Give(Seat, Seat, Units),
+    /// The address is proved to be gone; its units become free.
+    Remove(Address),
+}
+
+/// The seats of one failure domain and their units; one value in the key-value service.
+///
+/// Only a holder gives its units away, and only proof that it is gone frees them: silence does
+/// not. So the units that seats believe they hold never add up to more than `total`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Units of this failure domain.
+    pub total: Units,
+    /// Seats by address.
+    pub seats: SortedMap<Address, SeatEntry>,
+}
+
+impl Roster {
+    /// Creates a roster without seats.
+    pub fn new(total: Units) -> Roster {
+        Roster { total, seats: SortedMap::default() }
+    }
+
+    /// Returns the units of a seat; zero for a former incarnation.
+    pub fn units(&self, seat: &Seat) -> Units {
+        match self.seats.get(&seat.address) {
+            Some(entry) if entry.incarnation == seat.incarnation => entry.units,
+            _ => Units::ZERO,
+        }
+    }
+
+    /// Returns whether `seat` is the present incarnation at its address.
+    pub fn holds(&self, seat: &Seat) -> bool {
+        self.seats.get(&seat.address).is_some_and(|e| e.incarnation == seat.incarnation)
+    }
+
+    /// Iterates over the seats in the order of their addresses.
+    pub fn iter(&self) -> impl Iterator<Item = Seat> + '_ {
+        self.seats.iter().map(|(address, entry)| Seat {
+            address: address.clone(),
+            incarnation: entry.incarnation,
+        })
+    }
+
+    /// Returns the units that nobody holds.
+    pub fn free(&self) -> Units {
+        let held: u64 = self.seats.values().map(|entry| u64::from(entry.units.0)).sum();
+        let free = u64::from(self.total.0).saturating_sub(held);
+        Units(u32::try_from(free).unwrap_or(u32::MAX))
+    }
+
+    /// Returns an equal part for each seat.
+    pub fn fair(&self) -> Units {
+        Units(self.total.0 / u32::try_from(self.seats.len().max(1)).unwrap_or(u32::MAX))
+    }
+
+    /// Returns the step that `seat` should take next, if any.
+    pub fn next_step(&self, seat: &Seat) -> Option<RosterStep> {
+        if !self.holds(seat) {
+            return Some(RosterStep::Join(seat.clone()));
+        }
+        let (own, fair, free) = (self.units(seat), self.fair(), self.free());
+        if own < fair && free > Units::ZERO {
+            return Some(RosterStep::Take(seat.clone(), Units(free.0.min(fair.0 - own.0))));
+        }
+        // A sixteenth of tolerance keeps two holders from passing units to and fro.
+        if own.0 > fair.0 + fair.0 / 16 {
+            let poorest = self.iter().min_by_key(|other| self.units(other))?;
+            let missing = fair.0.saturating_sub(self.units(&poorest).0);
+            let given = Units(missing.min(own.0 - fair.0));
+            if given.0 > 0 && poorest != *seat {
+                return Some(RosterStep::Give(seat.clone(), poorest, given));
+            }
+        }
+        None
+    }
+
+    /// Returns the roster after `step`, or `None` when the step does not apply to it.
+    pub fn after(&self, step: &RosterStep) -> Option<Roster> {
+        let mut next = self.clone();
+        match step {
+            RosterStep::Join(seat) => {
+                let empty = || SeatEntry { incarnation: seat.incarnation, units: Units::ZERO };
+                next.seats.entry(seat.address.clone(), empty).incarnation = seat.incarnation;
+            }
+            RosterStep::Take(seat, units) => {
+                if !self.holds(seat) || *units > self.free() {
+                    return None;
+                }
+                next.seats.get_mut(&seat.address)?.units.0 += units.0;
+            }
+            RosterStep::Give(from, to, units) => {
+                if !self.holds(from) || !self.holds(to) || *units > self.units(from) {
+                    return None;
+                }
+                next.seats.get_mut(&from.address)?.units.0 -= units.0;
+                next.seats.get_mut(&to.address)?.units.0 += units.0;
+            }
+            RosterStep::Remove(address) => {
+                next.seats.remove(address)?;
+            }
+        }
+        Some(next)
+    }
+}
--- /dev/null
+++ b/crates/mangodeal/src/client.rs
@@ -0,0 +1,187 @@
+//! Small clients of the callers' and the operators' interface.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection was made.
+    #[error("can't connect to {0}: {1}")]
+    Connect(SocketAddr, std::io::Error),
+    /// The call or its answer broke off.
+    #[error("the exchange broke off: {0}")]
+    Broken(String),
+    /// No answer in time.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+}
+
+/// A call to an HTTP server.
+#[derive(Clone, Debug)]
+pub struct HttpCall {
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Bytes,
+    timeout: Duration,
+}
+
+/// An answer whose body may still be arriving.
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    driver: JoinHandle<()>,
+}
+
+impl HttpCall {
+    /// Creates a GET call.
+    pub fn get(address: SocketAddr, path: impl Into<String>) -> HttpCall {
+        HttpCall {
+            address,
+            method: Method::GET,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout: Duration::from_secs(60),
+        }
+    }
+
+    /// Creates a POST call.
+    pub fn post(address: SocketAddr, path: impl Into<String>, body: impl Into<Bytes>) -> HttpCall {
+        HttpCall { method: Method::POST, body: body.into(), ..HttpCall::get(address, path) }
+    }
+
+    /// Sets the method.
+    pub fn method(mut self, method: Method) -> HttpCall {
+        self.method = method;
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> HttpCall {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Presents a key or credential.
+    pub fn bearer(self, key: &str) -> HttpCall {
+        self.header("authorization", format!("Bearer {key}"))
+    }
+
+    /// Sets the longest time until the answer's head.
+    pub fn timeout(mut self, timeout: Duration) -> HttpCall {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Sends the call and returns when the answer's head arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer arrives.
+    pub async fn send(self) -> Result<HttpAnswer, CallError> {
+        let timeout = self.timeout;
+        let exchange = self.exchange();
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::Timeout(timeout)))
+    }
+
+    async fn exchange(self) -> Result<HttpAnswer, CallError> {
+        let stream = TcpStream::connect(self.address)
+            .await
+            .map_err(|error| CallError::Connect(self.address, error))?;
+        let _ = stream.set_nodelay(true);
+        let broken = |error: hyper::Error| CallError::Broken(error.to_string());
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        let mut request = Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header("host", self.address.to_string());
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let request = request
+            .body(Full::new(self.body))
+            .map_err(|error| CallError::Broken(error.to_string()))?;
+        let response = sender.send_request(request).await.map_err(broken)?;
+        let (head, body) = response.into_parts();
+        Ok(HttpAnswer { status: head.status, headers: head.headers, body, driver })
+    }
+}
+
+impl HttpAnswer {
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns the numbered result code.
+    pub fn code(&self) -> Option<u16> {
+        self.header("x-mangodeal-code")?.parse().ok()
+    }
+
+    /// Returns the next piece of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
+        loop {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(CallError::Broken(error.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off.
+    pub async fn bytes(mut self) -> Result<Bytes, CallError> {
+        let mut body = Vec::new();
+        while let Some(piece) = self.next().await? {
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.into())
+    }
+
+    /// Returns the whole body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off or is no JSON.
+    pub async fn json(self) -> Result<serde_json::Value, CallError> {
+        let body = self.bytes().await?;
+        serde_json::from_slice(&body).map_err(|error| CallError::Broken(error.to_string()))
+    }
+}
+
+impl Drop for HttpAnswer {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/mangodeal/src/command.rs
@@ -0,0 +1,250 @@
+//! The operators' and callers' command line.
+
+mod operate;
+mod table;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use base::{Revision, SecretKey};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use config::Kind;
+
+use crate::client::CallError;
+
+/// Operates, calls and measures mangodeal.
+#[derive(Parser)]
+#[command(name = "mangodeal", version)]
+pub struct Arguments {
+    #[command(flatten)]
+    server: ServerArguments,
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// Where the operators' interface is, and how to show its answers.
+#[derive(Args)]
+struct ServerArguments {
+    /// Operators' address of any daemon.
+    #[arg(long, global = true, env = "MANGODEAL_SERVER", default_value = "127.0.0.1:8001")]
+    server: SocketAddr,
+    /// Operator credential; better given in the environment than on the command line.
+    #[arg(long, global = true, env = "MANGODEAL_CREDENTIAL", hide_env_values = true)]
+    credential: Option<String>,
+    /// Form of the answer.
+    #[arg(long, global = true, value_enum, default_value = "table")]
+    output: Output,
+}
+
+/// Form of an answer.
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Output {
+    /// Columns for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the main job on embedded stand-ins.
+    Demo,
+    /// List objects, or show one.
+    Get {
+        /// Kind of the objects; all kinds when omitted.
+        kind: Option<Kind>,
+        /// Name of one object.
+        name: Option<String>,
+    },
+    /// Create or change the objects in a JSON file, all or none.
+    Apply {
+        #[command(flatten)]
+        file: FileArguments,
+        /// Check the change without making it.
+        #[arg(long)]
+        dry_run: bool,
+        /// Refuse the change of an object that is no longer at the revision in the file.
+        #[arg(long)]
+        strict: bool,
+        /// Identifier of the change; repeating a change with it has no second effect.
+        #[arg(long)]
+        change: Option<String>,
+        /// Wait until the change is in force on all daemons.
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Show how the objects in a JSON file differ from those in force.
+    Diff {
+        #[command(flatten)]
+        file: FileArguments,
+    },
+    /// Delete an object.
+    Delete {
+        /// Kind of the object.
+        kind: Kind,
+        /// Name of the object.
+        name: String,
+        /// Delete it only if it is at this revision.
+        #[arg(long)]
+        revision: Option<Revision>,
+    },
+    /// Create a caller's key and print it; it is stored as a hash only.
+    Key {
+        /// Name under which the key is listed and withdrawn.
+        name: String,
+        /// Team for which it stands.
+        #[arg(long)]
+        team: String,
+    },
+    /// Show the audit trail.
+    Audit {
+        /// First revision.
+        #[arg(long, default_value = "1")]
+        from: Revision,
+        /// Only changes of this object, as in key/counter.
+        #[arg(long)]
+        object: Option<String>,
+    },
+    /// Show hosts, shares and replicas.
+    Status,
+    /// Explain what happened to a request, or why a model is where it is.
+    Explain {
+        /// What to explain.
+        #[arg(value_enum)]
+        what: Explained,
+        /// Request identifier or model name.
+        name: String,
+    },
+    /// Wait until a revision is in force everywhere, and tell where it is not.
+    Wait {
+        /// Revision.
+        revision: Revision,
+        /// Longest time, in seconds.
+        #[arg(long, default_value = "10")]
+        timeout: u64,
+    },
+    /// Show changes as they are made.
+    Watch,
+    /// Send a chat request as a caller.
+    Call {
+        /// Callers' address of any daemon.
+        #[arg(long, env = "MANGODEAL_CALLER", default_value = "127.0.0.1:8000")]
+        caller: SocketAddr,
+        /// Caller's key.
+        #[arg(long, env = "MANGODEAL_KEY", hide_env_values = true)]
+        key: String,
+        /// Model or adapter.
+        model: String,
+        /// Message.
+        text: String,
+        /// Most tokens of the answer.
+        #[arg(long, default_value = "64")]
+        max_tokens: u64,
+    },
+    /// Print the hash of an operator credential read from standard input, for the settings.
+    Hash,
+    /// Measure the slopes of the capacity page.
+    Capacity,
+    /// Print a completion script.
+    Completion {
+        /// Shell.
+        shell: Shell,
+    },
+}
+
+#[derive(Args)]
+struct FileArguments {
+    /// JSON file with one object or a list of objects; `-` stands for standard input.
+    #[arg(short, long)]
+    file: PathBuf,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Explained {
+    /// A recent request on the asked daemon.
+    Request,
+    /// A model or adapter.
+    Model,
+}
+
+/// Why a command failed. Each kind has an exit code of its own.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The server's address does not answer.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The server refused.
+    #[error("{code} {message}")]
+    Refused {
+        /// Numbered result code, or the HTTP status when there is none.
+        code: u16,
+        /// Reason.
+        message: String,
+    },
+    /// The input can't be used.
+    #[error("{0}")]
+    Input(String),
+    /// A change is not in force everywhere in time.
+    #[error("not in force on {0}")]
+    Behind(String),
+    /// The demo or a measurement failed.
+    #[error("{0}")]
+    Failed(String),
+}
+
+impl CommandError {
+    /// Returns the command's exit code, as `docs/INTERFACES.md` lists them.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            CommandError::Failed(_) => 1,
+            CommandError::Input(_) => 2,
+            CommandError::Refused { code: 2101, .. } => 3,
+            CommandError::Refused { code: 2103 | 1303, .. } => 4,
+            CommandError::Refused { code: 2202, .. } => 6,
+            CommandError::Refused { code: 2201 | 1304, .. } | CommandError::Call(_) => 5,
+            CommandError::Refused { .. } => 7,
+            CommandError::Behind(_) => 8,
+        }
+    }
+}
+
+impl Arguments {
+    /// Runs the command and returns its exit code.
+    pub async fn run(self) -> ExitCode {
+        match self.execute().await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{:?}", miette::miette!("{error}"));
+                ExitCode::from(error.exit_code())
+            }
+        }
+    }
+
+    async fn execute(self) -> Result<(), CommandError> {
+        let failed = |error: &dyn std::fmt::Display| CommandError::Failed(error.to_string());
+        match self.command {
+            Command::Demo => crate::demo::run().await.map_err(|error| failed(&error)),
+            Command::Capacity => {
+                crate::capacity::run();
+                Ok(())
+            }
+            Command::Hash => {
+                let mut line = String::new();
+                std::io::stdin().read_line(&mut line).map_err(|error| failed(&error))?;
+                println!("{}", SecretKey::new(line.trim()).hash());
+                Ok(())
+            }
+            Command::Completion { shell } => {
+                let mut command = Arguments::command();
+                clap_complete::generate(shell, &mut command, "mangodeal", &mut std::io::stdout());
+                Ok(())
+            }
+            Command::Call { caller, key, model, text, max_tokens } => {
+                operate::call(caller, &key, &model, &text, max_tokens).await
+            }
+            command => operate::Operator::new(self.server)?.execute(command).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lease.rs
@@ -0,0 +1,61 @@
+//! The lease under which one seat is its failure domain's placer.
+
+use std::time::Duration;
+
+use base::{Fence, Seat, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::config_sync::{parse, to_json};
+use crate::{KeyValue, LeaseId, StoreTxn};
+
+/// How long before its end the lease is no longer relied on.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+/// The placer's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct PlacerDoc {
+    seat: Seat,
+    lease: LeaseId,
+}
+
+/// What is known of a failure domain's placer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PlacerEntry {
+    pub(crate) seat: Seat,
+    pub(crate) lease: LeaseId,
+    pub(crate) fence: Fence,
+}
+
+impl PlacerEntry {
+    pub(crate) fn parse(entry: &KeyValue) -> Option<PlacerEntry> {
+        let doc: PlacerDoc = parse(entry)?;
+        Some(PlacerEntry { seat: doc.seat, lease: doc.lease, fence: Fence(entry.revision.0) })
+    }
+}
+
+/// Returns the transaction by which `seat` becomes the placer recorded under `key`.
+pub(crate) fn claim_txn(key: &str, seat: &Seat, lease: LeaseId) -> StoreTxn {
+    let doc = PlacerDoc { seat: seat.clone(), lease };
+    StoreTxn::default().expect(key, base::Revision(0)).put_leased(key, to_json(&doc), lease)
+}
+
+/// This daemon's lease in the key-value service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ServiceLease {
+    held: Option<(LeaseId, Time)>,
+}
+
+impl ServiceLease {
+    pub(crate) fn kept(&mut self, lease: LeaseId, until: Time) {
+        self.held = Some((lease, until));
+    }
+
+    pub(crate) fn lost(&mut self) {
+        self.held = None;
+    }
+
+    /// Returns the lease if it surely holds at `now`.
+    pub(crate) fn current(&self, now: Time) -> Option<LeaseId> {
+        self.held.filter(|(_, until)| now + LEASE_MARGIN < *until).map(|(lease, _)| lease)
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,59 @@
+//! One entry host's whole decision state as a state machine.
+//!
+//! Each thing that happens to a host is an [`Event`]; each thing it does is an [`Action`]; nothing
+//! else crosses. [`Node::handle`] takes an event and the present time and returns actions. The
+//! node performs no I/O and reads no clock, so the same code runs in the daemon, under stateful
+//! fuzzing and in the capacity measurements.
+//!
+//! # Example
+//!
+//! ```
+//! use base::Time;
+//! use mango_node::{Action, Event, Node, NodeConfig};
+//!
+//! let config = NodeConfig::new("127.0.0.1:7001".parse()?, "east".parse()?);
+//! let mut node = Node::new(Time::ZERO, config);
+//! let actions = node.handle(Time::ZERO, Event::Tick);
+//! assert!(actions.iter().all(|action| !matches!(action, Action::Dispatch(_))));
+//! # Ok::<(), base::ParseError>(())
+//! ```
+//!
+//! # When to use it
+//!
+//! Use it as the only place where decisions of a host meet. What needs no decision beyond a
+//! look-up reads the snapshot in [`Action::Publish`].
+//!
+//! # Limits
+//!
+//! An event is handled in O(waiting requests + replicas of the wanted models). The node holds the
+//! configuration, the rosters and the views of all failure domains in memory.
+
+mod config_sync;
+mod event;
+mod keys;
+mod lease;
+mod member;
+mod message;
+mod node;
+mod request;
+mod service;
+mod stats;
+mod token;
+mod view;
+
+pub use event::{
+    Action, DispatchOrder, Event, HostEntry, HostRole, HostsReport, NewRequest, ProposalResult,
+    Refusal, RequestEnd, RequestGoal,
+};
+pub use keys::{
+    claim_key, copies_key, placer_key, plan_key, roster_key, CFG_PREFIX, HEAD_KEY, LIVE_PREFIX,
+    LOG_PREFIX, PLACER_PREFIX, ROSTER_PREFIX,
+};
+pub use message::{DomainView, PeerMessage, SnapshotDoc};
+pub use node::{Node, NodeConfig};
+pub use request::{RequestTrace, TraceStep};
+pub use service::{
+    Compare, KeyEvent, KeyValue, LeaseId, OpId, ServiceEvent, StoreOp, StorePut, StoreResult,
+    StoreTxn, TxnOutcome,
+};
+pub use stats::{NodeStats, SeatStatus, TargetStatus};
--- /dev/null
+++ b/crates/node/src/member.rs
@@ -0,0 +1,284 @@
+//! Who is there: rosters, peers' signs of life and the platform's host list.
+
+use std::time::Duration;
+
+use base::{Address, DomainName, Incarnation, Revision, Seat, SortedMap, TargetName, Time};
+use grant::{Roster, RosterStep, Units};
+
+use crate::config_sync::{parse, to_json};
+use crate::keys::{from_component, roster_key};
+use crate::{HostEntry, HostRole, HostsReport, KeyValue, SeatStatus, StoreTxn, ROSTER_PREFIX};
+
+/// Seats pinged in a round; a round takes a second.
+const PINGS_PER_ROUND: usize = 8;
+/// A peer that did not answer for this long is passed over where another can do.
+const SILENT_SPAN: Duration = Duration::from_secs(3);
+
+/// What a peer last told.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerState {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) heard_at: Option<Time>,
+    pub(crate) revision: Option<Revision>,
+    /// Moment of the ping whose answer said that the service does not answer.
+    pub(crate) cut_off_at: Option<Time>,
+}
+
+/// Units that this seat has stopped using in order to give them away.
+#[derive(Clone, Debug)]
+struct Giving {
+    step: RosterStep,
+    units: Units,
+    /// When no loan of the former, larger share can be unspent any more.
+    ready_at: Time,
+    /// Roster revision on which the gift is based. Only another revision proves that a write
+    /// whose answer was lost can't take effect any more.
+    revision: Revision,
+}
+
+/// The fleet's members as one daemon knows them.
+#[derive(Clone, Debug)]
+pub(crate) struct Members {
+    own: Seat,
+    domain: DomainName,
+    total: Units,
+    rosters: SortedMap<DomainName, (Revision, Roster)>,
+    peers: SortedMap<Address, PeerState>,
+    next_ping: usize,
+    giving: Option<Giving>,
+    pub(crate) writing: bool,
+    pub(crate) next_write: Time,
+    hosts: Option<HostsReport>,
+    /// Entry hosts that were listed once.
+    listed: SortedMap<Address, ()>,
+    leaving: Vec<TargetName>,
+    /// Seats proved gone, and when that was learned.
+    gone: Vec<(Seat, Time)>,
+}
+
+impl Members {
+    pub(crate) fn new(own: Seat, domain: DomainName, total: Units) -> Members {
+        Members {
+            own,
+            domain,
+            total,
+            rosters: SortedMap::default(),
+            peers: SortedMap::default(),
+            next_ping: 0,
+            giving: None,
+            writing: false,
+            next_write: Time::ZERO,
+            hosts: None,
+            listed: SortedMap::default(),
+            leaving: Vec::new(),
+            gone: Vec::new(),
+        }
+    }
+
+    /// Takes a roster as it is stored. Older revisions than the known one are ignored.
+    pub(crate) fn roster_seen(&mut self, now: Time, entry: &KeyValue) {
+        let Some(name) = entry.key.strip_prefix(ROSTER_PREFIX) else { return };
+        let Ok(domain) = from_component(name).parse::<DomainName>() else { return };
+        let Some(roster) = parse::<Roster>(entry) else { return };
+        let known = self.rosters.get(&domain);
+        if known.is_some_and(|(revision, _)| *revision >= entry.revision) {
+            return;
+        }
+        let former = known.map(|(_, roster)| roster.clone()).unwrap_or_default();
+        for seat in former.iter().filter(|seat| !roster.holds(seat)) {
+            self.gone.push((seat, now));
+        }
+        if domain == self.domain {
+            self.giving = self.giving.take().filter(|giving| giving.revision >= entry.revision);
+        }
+        self.rosters.insert(domain, (entry.revision, roster));
+    }
+
+    /// Returns the units that this seat may use.
+    pub(crate) fn usable_units(&self) -> Units {
+        let held = self.own_roster().map_or(Units::ZERO, |(_, roster)| roster.units(&self.own));
+        let given = self.giving.as_ref().map_or(Units::ZERO, |giving| giving.units);
+        Units(held.0.saturating_sub(given.0))
+    }
+
+    pub(crate) fn is_seated(&self) -> bool {
+        self.own_roster().is_some_and(|(_, roster)| roster.holds(&self.own))
+    }
+
+    /// Returns the next write to the roster that is due, if any.
+    pub(crate) fn next_txn(&mut self, now: Time, loan_span: Duration) -> Option<StoreTxn> {
+        if self.writing || now < self.next_write {
+            return None;
+        }
+        if let Some(giving) = &self.giving {
+            let step = giving.step.clone();
+            return if now >= giving.ready_at { self.step_txn(&step) } else { None };
+        }
+        let (revision, roster) = self.own_roster().cloned().unwrap_or_default();
+        let step = match self.gone_address(&roster) {
+            Some(address) => RosterStep::Remove(address),
+            None => roster.next_step(&self.own)?,
+        };
+        if let RosterStep::Give(_, _, units) = step {
+            let ready_at = now + loan_span;
+            self.giving = Some(Giving { step, units, ready_at, revision });
+            return None;
+        }
+        self.step_txn(&step)
+    }
+
+    /// Returns the write by which this seat leaves the roster and frees its units.
+    pub(crate) fn leave_txn(&self) -> Option<StoreTxn> {
+        self.is_seated().then(|| self.step_txn(&RosterStep::Remove(self.own.address.clone())))?
+    }
+
+    /// Returns the seats of all failure domains but this one's own, own domain first.
+    pub(crate) fn others(&self) -> Vec<Seat> {
+        let near = self.own_roster().into_iter().flat_map(|(_, roster)| roster.iter());
+        let far = self.rosters.iter().filter(|(domain, _)| **domain != self.domain);
+        let far = far.flat_map(|(_, (_, roster))| roster.iter());
+        let mut seats: Vec<Seat> = near.chain(far).filter(|seat| *seat != self.own).collect();
+        if seats.is_empty() {
+            seats = self.listed_hosts();
+        }
+        seats
+    }
+
+    /// Returns the other seats of this failure domain.
+    pub(crate) fn near(&self) -> Vec<Seat> {
+        let seats = self.own_roster().into_iter().flat_map(|(_, roster)| roster.iter());
+        seats.filter(|seat| *seat != self.own).collect()
+    }
+
+    /// Returns one seat of each other failure domain, a different one each time.
+    pub(crate) fn bridges(&self, turn: usize) -> Vec<Seat> {
+        let far = self.rosters.iter().filter(|(domain, _)| **domain != self.domain);
+        far.filter_map(|(_, (_, roster))| {
+            let seats: Vec<Seat> = roster.iter().collect();
+            seats.get(turn % seats.len().max(1)).cloned()
+        })
+        .collect()
+    }
+
+    pub(crate) fn is_near(&self, address: &Address) -> bool {
+        self.own_roster().is_some_and(|(_, roster)| roster.seats.contains(address))
+    }
+
+    /// Returns whether messages from `seat` are accepted: it is in a roster or in the host list,
+    /// or neither is known yet.
+    pub(crate) fn is_known(&self, seat: &Seat) -> bool {
+        let seated = |(_, roster): &(Revision, Roster)| roster.seats.contains(&seat.address);
+        self.rosters.values().any(seated)
+            || self.listed_hosts().iter().any(|host| host.address == seat.address)
+            || self.rosters.is_empty()
+    }
+
+    /// Returns the seats to ping in this round.
+    pub(crate) fn ping_round(&mut self) -> Vec<Seat> {
+        let seats = self.others();
+        let count = seats.len().min(PINGS_PER_ROUND);
+        let start = self.next_ping;
+        self.next_ping = (start + count) % seats.len().max(1);
+        (0..count).map(|offset| seats[(start + offset) % seats.len()].clone()).collect()
+    }
+
+    pub(crate) fn heard(&mut self, now: Time, seat: &Seat) -> &mut PeerState {
+        let peer = self.peers.entry(seat.address.clone(), PeerState::default);
+        if peer.incarnation != seat.incarnation {
+            *peer = PeerState { incarnation: seat.incarnation, ..PeerState::default() };
+        }
+        peer.heard_at = Some(now);
+        peer
+    }
+
+    /// Returns whether the peer answered lately, or was never asked.
+    pub(crate) fn is_responsive(&self, now: Time, address: &Address) -> bool {
+        let heard = self.peers.get(address).and_then(|peer| peer.heard_at);
+        heard.is_none_or(|at| now.since(at) < SILENT_SPAN)
+    }
+
+    /// Returns since when every other seat surely had no path to the service, when all of them
+    /// confirmed it.
+    pub(crate) fn all_cut_off_since(&self, now: Time) -> Option<Time> {
+        let seats = self.others();
+        let confirmed = seats.iter().map(|seat| {
+            let peer = self.peers.get(&seat.address)?;
+            let fresh = peer.cut_off_at.filter(|at| now.since(*at) < SILENT_SPAN);
+            fresh.filter(|_| peer.incarnation == seat.incarnation)
+        });
+        confirmed.collect::<Option<Vec<Time>>>()?.into_iter().min().or(Some(now))
+    }
+
+    /// Takes the platform's host list.
+    pub(crate) fn hosts_seen(&mut self, hosts: HostsReport) {
+        for host in hosts.hosts.iter().filter(|host| host.role == HostRole::Entry) {
+            self.listed.insert(Address(host.name.clone()), ());
+        }
+        let targets = hosts.hosts.iter().filter(|h| h.role == HostRole::Target && h.leaving);
+        self.leaving = targets.map(|host| TargetName(host.name.clone())).collect();
+        self.leaving.sort();
+        self.hosts = Some(hosts);
+    }
+
+    /// Returns the targets that are leaving, sorted.
+    pub(crate) fn leaving(&self) -> &[TargetName] {
+        &self.leaving
+    }
+
+    pub(crate) fn gone(&self) -> &[(Seat, Time)] {
+        &self.gone
+    }
+
+    /// Iterates over the status of all seats.
+    pub(crate) fn status(&self, now: Time) -> Vec<SeatStatus> {
+        let mut status = Vec::new();
+        for (domain, (_, roster)) in self.rosters.iter() {
+            for seat in roster.iter() {
+                let peer = self.peers.get(&seat.address);
+                let peer = peer.filter(|peer| peer.incarnation == seat.incarnation);
+                status.push(SeatStatus {
+                    domain: domain.clone(),
+                    units: roster.units(&seat),
+                    revision: peer.and_then(|peer| peer.revision),
+                    silent: peer.and_then(|peer| peer.heard_at).map(|at| now.since(at)),
+                    seat,
+                });
+            }
+        }
+        status
+    }
+
+    fn own_roster(&self) -> Option<&(Revision, Roster)> {
+        self.rosters.get(&self.domain)
+    }
+
+    fn step_txn(&self, step: &RosterStep) -> Option<StoreTxn> {
+        let empty = (Revision(0), Roster::new(self.total));
+        let (revision, roster) = self.own_roster().unwrap_or(&empty);
+        let next = roster.after(step)?;
+        let key = roster_key(&self.domain);
+        Some(StoreTxn::default().expect(key.clone(), *revision).put(key, to_json(&next)))
+    }
+
+    /// Returns a seat's address that the host list listed once and lists no more.
+    fn gone_address(&self, roster: &Roster) -> Option<Address> {
+        let hosts = self.hosts.as_ref().filter(|hosts| !hosts.hosts.is_empty())?;
+        let present = |address: &Address| {
+            let entry = |host: &&HostEntry| host.role == HostRole::Entry;
+            hosts.hosts.iter().filter(entry).any(|host| host.name == address.0)
+        };
+        let gone = |address: &&Address| self.listed.contains(address) && !present(address);
+        roster.seats.keys().find(gone).cloned()
+    }
+
+    fn listed_hosts(&self) -> Vec<Seat> {
+        let hosts = self.hosts.iter().flat_map(|hosts| &hosts.hosts);
+        hosts
+            .filter(|host| host.role == HostRole::Entry && host.name != self.own.address.0)
+            .map(|host| Seat {
+                address: Address(host.name.clone()),
+                incarnation: Incarnation::default(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/requests.rs
@@ -0,0 +1,613 @@
+//! The life of requests.
+
+use std::time::Duration;
+
+use base::{ModelName, RequestId, ResultCode, Revision, SortedMap, TeamName, Time, TokenCount};
+use config::{Snapshot, TargetKind};
+use place::{ModelWant, WantAnswer};
+use route::{Attempt, AttemptEnd, QueueEntry, TargetChoice};
+
+use super::{Node, OpPurpose, OpenWant};
+use crate::request::{ClaimState, RequestState, Stage, TraceStep};
+use crate::token::{TokenVerdict, TokenWait, Tokens};
+use crate::{
+    claim_key, Action, DispatchOrder, KeyValue, NewRequest, PeerMessage, Refusal, RequestEnd,
+    RequestGoal, StoreOp, StoreTxn, TxnOutcome,
+};
+
+/// Time between two repetitions of a demand.
+const WANT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long requests wait for a slot before another replica is asked for, and for a replica
+/// before other failure domains are asked.
+const WANT_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Pause before a request that was declined goes out again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Most transmissions of one request.
+const MAX_ATTEMPTS: u32 = 8;
+/// When to come back after a refusal whose cause gives no better estimate.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Whether a target can take a request now.
+enum Choice {
+    Target(base::TargetName),
+    NoReplica,
+    NoSlot,
+    Impossible,
+}
+
+impl Node {
+    pub(super) fn arrived(&mut self, now: Time, spec: NewRequest) {
+        self.stats.arrived += 1;
+        self.retries.request();
+        match self.admit(now, &spec) {
+            Err(code) => {
+                self.traces.start(now, &spec, None);
+                self.refuse(now, spec.id, code, None);
+            }
+            Ok(team) => self.accept(now, spec, team),
+        }
+    }
+
+    /// Returns the team for which a request may run.
+    fn admit(&self, now: Time, spec: &NewRequest) -> Result<Option<TeamName>, ResultCode> {
+        if !self.takes_requests() {
+            return Err(ResultCode::NotReady);
+        }
+        if self.queue.len() >= self.config.max_waiting {
+            return Err(ResultCode::QueueFull);
+        }
+        let team = authorize(self.sync.snapshot(), spec)?;
+        if team.is_some() && self.are_keys_stale(now) {
+            return Err(ResultCode::KeysStale);
+        }
+        if now >= spec.deadline {
+            return Err(ResultCode::DeadlinePassed);
+        }
+        let object = team.as_ref().and_then(|team| self.sync.snapshot().team(team));
+        if object.is_some_and(|team| !Tokens::can_ever_cover(team, spec.cost)) {
+            return Err(ResultCode::CostTooLarge);
+        }
+        Ok(team)
+    }
+
+    /// Returns whether the configuration may have changed too long ago without this host
+    /// learning of it.
+    fn are_keys_stale(&self, now: Time) -> bool {
+        self.sync.fresh_at().is_none_or(|at| now.since(at) > self.config.key_grace)
+    }
+
+    fn accept(&mut self, now: Time, spec: NewRequest, team: Option<TeamName>) {
+        self.traces.start(now, &spec, team.clone());
+        let (id, cost, deadline) = (spec.id, spec.cost, spec.deadline);
+        let state = RequestState {
+            spec,
+            team: team.clone(),
+            arrived: now,
+            stage: Stage::Tokens,
+            charged: false,
+            claim: ClaimState::Open,
+            attempts: 0,
+            declined: Vec::new(),
+            retry_at: now,
+        };
+        self.requests.insert(id, state);
+        let wait = TokenWait { request: id, cost, deadline };
+        match team {
+            Some(team) if cost > TokenCount::ZERO => {
+                if self.tokens.charge(now, &team, wait) {
+                    self.charged(id);
+                } else {
+                    self.traces.add(now, id, TraceStep::WaitsForTokens);
+                }
+            }
+            _ => self.enqueue(id),
+        }
+    }
+
+    fn charged(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.charged = true;
+            self.enqueue(id);
+        }
+    }
+
+    fn enqueue(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.stage = Stage::Queue;
+        self.queue.push(QueueEntry {
+            request: id,
+            team: request.team.clone(),
+            arrived: request.arrived,
+            priority: request.spec.priority,
+        });
+    }
+
+    /// Moves requests on: charges them, sends them to targets, and asks for replicas.
+    pub(super) fn pump(&mut self, now: Time) {
+        let seats = self.members.others();
+        let peers: Vec<_> = seats
+            .into_iter()
+            .map(|seat| seat.address)
+            .filter(|address| self.members.is_responsive(now, address))
+            .collect();
+        let mut messages = Vec::new();
+        for verdict in self.tokens.pump(now, &peers, &mut messages) {
+            match verdict {
+                TokenVerdict::Charged(id) => self.charged(id),
+                TokenVerdict::Refused(id, after) => {
+                    self.refuse(now, id, ResultCode::RateExceeded, Some(after));
+                }
+            }
+        }
+        for (address, message) in messages {
+            self.send(&address, message);
+        }
+        self.send_waiting(now);
+    }
+
+    fn send_waiting(&mut self, now: Time) {
+        if self.queue.is_empty() {
+            self.wants = SortedMap::default();
+            return;
+        }
+        let mut wanted: SortedMap<ModelName, ModelWant> = SortedMap::default();
+        for id in self.queue.order(now) {
+            let Some(request) = self.requests.get(&id) else { continue };
+            if now < request.retry_at {
+                continue;
+            }
+            match self.choose(now, id) {
+                Choice::Target(target) => self.claim_or_send(now, id, target),
+                Choice::NoReplica => {
+                    self.traces.add(now, id, TraceStep::WaitsForReplica);
+                    self.add_want(now, id, false, &mut wanted);
+                }
+                Choice::NoSlot => {
+                    self.traces.add(now, id, TraceStep::WaitsForSlot);
+                    self.add_want(now, id, true, &mut wanted);
+                }
+                Choice::Impossible => {
+                    let after = Some(DEFAULT_RETRY_AFTER);
+                    self.refuse(now, id, ResultCode::NoCapacity, after);
+                }
+            }
+        }
+        self.send_wants(now, wanted);
+    }
+
+    fn choose(&mut self, now: Time, id: RequestId) -> Choice {
+        let Some(request) = self.requests.get(&id) else { return Choice::Impossible };
+        let snapshot = self.sync.snapshot().clone();
+        let own_domain = &self.config.domain;
+        let leaving = self.members.leaving();
+        let usable = |target: &&config::TargetObject| {
+            leaving.binary_search(&target.name).is_err() && !request.declined.contains(&target.name)
+        };
+        let to_choice = |target: &config::TargetObject| TargetChoice {
+            target: target.name.clone(),
+            slots: target.slots,
+            near: target.domain == *own_domain,
+        };
+        let choices: Vec<TargetChoice> = match &request.spec.goal {
+            RequestGoal::Route(name) => {
+                let Some(route) = snapshot.route(name) else { return Choice::Impossible };
+                let targets = snapshot.targets().filter(|target| {
+                    target.kind == TargetKind::Service && route.targets.matches(&target.labels)
+                });
+                let targets: Vec<_> = targets.collect();
+                if targets.is_empty() {
+                    return Choice::Impossible;
+                }
+                targets.into_iter().filter(usable).map(to_choice).collect()
+            }
+            RequestGoal::Model(model) => {
+                let ready = self.views.replicas(model).iter().filter(|(_, ready)| *ready);
+                let targets = ready.filter_map(|(target, _)| snapshot.target(target));
+                let choices: Vec<_> = targets.filter(usable).map(to_choice).collect();
+                if choices.is_empty() {
+                    return match can_ever_run(&snapshot, model) {
+                        true => Choice::NoReplica,
+                        false => Choice::Impossible,
+                    };
+                }
+                choices
+            }
+        };
+        match self.loads.choose(now, &choices) {
+            Some(target) => Choice::Target(target),
+            None => Choice::NoSlot,
+        }
+    }
+
+    /// Records the idempotency key of a request that must not run twice, then sends it.
+    fn claim_or_send(&mut self, now: Time, id: RequestId, target: base::TargetName) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let needs_claim =
+            request.spec.idempotency.is_some() && !matches!(request.claim, ClaimState::Recorded(_));
+        if !needs_claim {
+            self.dispatch(now, id, target);
+            return;
+        }
+        if !self.service_up {
+            let after = Some(DEFAULT_RETRY_AFTER);
+            self.refuse(now, id, ResultCode::ClaimUnavailable, after);
+            return;
+        }
+        self.traces.add(now, id, TraceStep::Claims);
+        self.queue.remove(id);
+        let Some(txn) = self.claim_txn(id) else { return };
+        let op = self.call(OpPurpose::Claim(id), StoreOp::Txn(txn));
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.stage = Stage::Claiming(op);
+            request.claim = ClaimState::Uncertain;
+        }
+    }
+
+    fn claim_txn(&self, id: RequestId) -> Option<StoreTxn> {
+        let key = self.claim_key(id)?;
+        let value = self.claim_value(id);
+        Some(StoreTxn::default().expect(key.clone(), Revision(0)).put(key, value))
+    }
+
+    fn claim_key(&self, id: RequestId) -> Option<String> {
+        let request = self.requests.get(&id)?;
+        let hash = request.spec.idempotency.as_ref()?;
+        // Callers without a key share one name space.
+        let team = request.team.clone().or_else(|| "_open".parse().ok())?;
+        Some(claim_key(&team, hash))
+    }
+
+    pub(super) fn claim_written(&mut self, now: Time, id: RequestId, outcome: TxnOutcome) {
+        match outcome {
+            TxnOutcome::Done(revision) => self.claim_recorded(now, id, revision),
+            // The conflict may be with this daemon's own write whose answer was lost.
+            TxnOutcome::Conflict | TxnOutcome::Unknown => {
+                if let Some(key) = self.claim_key(id) {
+                    let op = self.call(OpPurpose::ClaimRead(id), StoreOp::Read(key));
+                    self.set_claiming(id, op);
+                }
+            }
+            TxnOutcome::NotSent => {
+                self.refuse(now, id, ResultCode::ClaimUnavailable, Some(DEFAULT_RETRY_AFTER));
+            }
+        }
+    }
+
+    pub(super) fn claim_read(&mut self, now: Time, id: RequestId, read: Option<Option<KeyValue>>) {
+        let own = self.claim_value(id);
+        match read {
+            Some(Some(entry)) if entry.value == own => {
+                self.claim_recorded(now, id, entry.revision);
+            }
+            Some(Some(_)) => {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.claim = ClaimState::Open;
+                }
+                self.refuse(now, id, ResultCode::AlreadyClaimed, None);
+            }
+            // The first write may still take effect; if so, this one conflicts with it and the
+            // next read finds this daemon's own value.
+            Some(None) => {
+                if let Some(txn) = self.claim_txn(id) {
+                    let op = self.call(OpPurpose::Claim(id), StoreOp::Txn(txn));
+                    self.set_claiming(id, op);
+                }
+            }
+            None => {
+                self.refuse(now, id, ResultCode::ClaimUnavailable, Some(DEFAULT_RETRY_AFTER));
+            }
+        }
+    }
+
+    fn set_claiming(&mut self, id: RequestId, op: crate::OpId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            if let Stage::Claiming(current) = &mut request.stage {
+                *current = op;
+            }
+        }
+    }
+
+    fn claim_recorded(&mut self, now: Time, id: RequestId, revision: Revision) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Stage::Claiming(_) = &request.stage else { return };
+        request.claim = ClaimState::Recorded(revision);
+        if now >= request.spec.deadline {
+            self.refuse(now, id, ResultCode::DeadlinePassed, None);
+            return;
+        }
+        // Permissions, the target's state or its load may have changed meanwhile.
+        self.enqueue(id);
+    }
+
+    fn dispatch(&mut self, now: Time, id: RequestId, target: base::TargetName) {
+        let snapshot = self.sync.snapshot().clone();
+        let Some(object) = snapshot.target(&target) else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.attempts += 1;
+        if request.attempts > 1 {
+            self.stats.retries += 1;
+        }
+        let attempt = Attempt::plan(target.clone(), request.spec.idempotent);
+        request.stage = Stage::Running(attempt.transmit());
+        let (team, cost) = (request.team.clone(), request.spec.cost);
+        self.queue.remove(id);
+        let weight = self.team_weight(&team);
+        self.queue.served(&team, cost, weight);
+        self.loads.started(&target);
+        self.traces.add(now, id, TraceStep::Sent(target.clone()));
+        let order = DispatchOrder { request: id, target, address: object.address.clone() };
+        self.out.actions.push(Action::Dispatch(order));
+    }
+
+    pub(super) fn ended(&mut self, now: Time, id: RequestId, end: RequestEnd) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Stage::Running(_) = &request.stage else { return };
+        let Stage::Running(attempt) = std::mem::replace(&mut request.stage, Stage::Queue) else {
+            return;
+        };
+        let target = attempt.target().clone();
+        self.loads.ended(&target);
+        match end {
+            RequestEnd::Served(used) => self.finish(now, id, ResultCode::Served, used),
+            RequestEnd::Broken(used) => self.finish(now, id, ResultCode::BrokenAnswer, used),
+            RequestEnd::CallerGone(used) => self.finish(now, id, ResultCode::CallerGone, used),
+            RequestEnd::Cancelled(used) => self.finish(now, id, ResultCode::StreamWithdrawn, used),
+            RequestEnd::TimedOut => {
+                // What it used is unknown, so the whole charge stands.
+                let cost = request.spec.cost;
+                self.answer(id, ResultCode::TargetTimeout, None);
+                self.finish(now, id, ResultCode::TargetTimeout, cost);
+            }
+            RequestEnd::NotSent => {
+                self.loads.failed(now, &target);
+                self.retry(now, id, &target, attempt.refused());
+            }
+            RequestEnd::Declined => self.retry(now, id, &target, attempt.refused()),
+            RequestEnd::Lost => {
+                self.loads.failed(now, &target);
+                self.retry(now, id, &target, attempt.lost());
+            }
+        }
+    }
+
+    fn retry(&mut self, now: Time, id: RequestId, target: &base::TargetName, end: AttemptEnd) {
+        let step = match end {
+            AttemptEnd::NotRun => TraceStep::NotRun(target.clone()),
+            _ => TraceStep::Lost(target.clone()),
+        };
+        self.traces.add(now, id, step);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let cost = request.spec.cost;
+        let late = now >= request.spec.deadline || request.attempts >= MAX_ATTEMPTS;
+        let allowed = match end {
+            AttemptEnd::NotRun => !late,
+            AttemptEnd::Repeatable => !late && self.retries.take(now),
+            AttemptEnd::Unknown => false,
+        };
+        if allowed {
+            // A target that is alone is asked again after the pause.
+            request.declined = vec![target.clone()];
+            request.retry_at = if request.attempts > 1 { now + RETRY_PAUSE } else { now };
+            if request.attempts > 1 {
+                request.declined.clear();
+            }
+            self.enqueue(id);
+        } else if end == AttemptEnd::NotRun {
+            self.refuse(now, id, ResultCode::TargetUnreachable, Some(DEFAULT_RETRY_AFTER));
+        } else {
+            self.answer(id, ResultCode::OutcomeUnknown, None);
+            self.finish(now, id, ResultCode::OutcomeUnknown, cost);
+        }
+    }
+
+    pub(super) fn abandoned(&mut self, now: Time, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if !matches!(request.stage, Stage::Running(_)) {
+            self.release_claim(id);
+            self.finish(now, id, ResultCode::CallerGone, TokenCount::ZERO);
+        }
+    }
+
+    /// Gives a request that did not run its final answer.
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        code: ResultCode,
+        retry_after: Option<Duration>,
+    ) {
+        self.answer(id, code, retry_after);
+        self.release_claim(id);
+        self.finish(now, id, code, TokenCount::ZERO);
+    }
+
+    fn answer(&mut self, request: RequestId, code: ResultCode, retry_after: Option<Duration>) {
+        self.out.actions.push(Action::Refuse(Refusal { request, code, retry_after }));
+    }
+
+    /// Deletes the claim of a request that did not run, so that the caller can try again. Only a
+    /// claim that is surely this request's own is deleted.
+    fn release_claim(&mut self, id: RequestId) {
+        let claim = self.requests.get(&id).map(|request| request.claim);
+        let (Some(ClaimState::Recorded(revision)), Some(key)) = (claim, self.claim_key(id)) else {
+            return;
+        };
+        let txn = StoreTxn::default().expect(key.clone(), revision).delete(key);
+        self.call(OpPurpose::Forgotten, StoreOp::Txn(txn));
+    }
+
+    /// Forgets a request and closes its charge.
+    fn finish(&mut self, now: Time, id: RequestId, code: ResultCode, used: TokenCount) {
+        self.traces.add(now, id, TraceStep::Ended(code));
+        match code {
+            ResultCode::Served => self.stats.served += 1,
+            code => *self.stats.refused.entry(code, || 0) += 1,
+        }
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.queue.remove(id);
+        if let Stage::Claiming(op) = request.stage {
+            self.forget_call(op);
+        }
+        if let Some(team) = &request.team {
+            self.tokens.forget(team, id);
+            if request.charged {
+                let used = used.min(request.spec.cost);
+                self.tokens.close(now, team, id, used);
+                self.stats.tokens += used.0;
+            }
+        }
+    }
+
+    /// Refuses the waiting requests whose deadlines passed.
+    pub(super) fn expire_requests(&mut self, now: Time) {
+        let late: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                now >= request.spec.deadline && !matches!(request.stage, Stage::Running(_))
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.refuse(now, id, ResultCode::DeadlinePassed, Some(DEFAULT_RETRY_AFTER));
+        }
+    }
+
+    /// Ends the requests that the configuration no longer permits.
+    pub(super) fn end_unpermitted(&mut self, now: Time) {
+        let snapshot = self.sync.snapshot().clone();
+        let ended: Vec<(RequestId, bool)> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| authorize(&snapshot, &request.spec) != Ok(request.team.clone()))
+            .map(|(id, request)| (*id, matches!(request.stage, Stage::Running(_))))
+            .collect();
+        for (id, running) in ended {
+            if running {
+                // The gate tells by an event how many tokens were used.
+                self.out.actions.push(Action::Cancel(id, ResultCode::StreamWithdrawn));
+            } else {
+                self.refuse(now, id, ResultCode::PermissionEnded, None);
+            }
+        }
+    }
+
+    /// Refuses the requests that a load can't serve in time.
+    pub(super) fn want_answered(&mut self, now: Time, answer: &WantAnswer) {
+        let late: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                matches!(request.stage, Stage::Queue)
+                    && request.spec.goal == RequestGoal::Model(answer.model.clone())
+                    && now + answer.retry_after / 2 > request.spec.deadline
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.refuse(now, id, ResultCode::NoCapacity, Some(answer.retry_after));
+        }
+    }
+
+    fn add_want(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        extra: bool,
+        wanted: &mut SortedMap<ModelName, ModelWant>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let RequestGoal::Model(model) = &request.spec.goal else { return };
+        let time_left = request.spec.deadline.since(now);
+        let fresh = || ModelWant { model: model.clone(), time_left, waiting: 0, extra };
+        let want = wanted.entry(model.clone(), fresh);
+        want.waiting += 1;
+        want.time_left = want.time_left.min(time_left);
+    }
+
+    fn send_wants(&mut self, now: Time, wanted: SortedMap<ModelName, ModelWant>) {
+        self.wants.retain(|model, _| wanted.contains(model));
+        let snapshot = self.sync.snapshot().clone();
+        for (model, want) in wanted.iter() {
+            let fresh = || OpenWant { since: now, sent_at: None };
+            let open = self.wants.entry(model.clone(), fresh);
+            let waited = now.since(open.since);
+            let due = open.sent_at.is_none_or(|at| now.since(at) >= WANT_INTERVAL);
+            if !due || (want.extra && waited < WANT_PATIENCE) {
+                continue;
+            }
+            open.sent_at = Some(now);
+            self.send_want(now, &snapshot, want, waited);
+        }
+    }
+
+    /// Sends a demand to the placer of the own failure domain if it may hold the model, and to
+    /// those of others if not, or if the own one does not act.
+    fn send_want(&mut self, now: Time, snapshot: &Snapshot, want: &ModelWant, waited: Duration) {
+        let mut domains = domains_of(snapshot, &want.model);
+        let own = self.config.domain.clone();
+        if domains.binary_search(&own).is_ok() && waited < WANT_PATIENCE {
+            domains = vec![own];
+        }
+        for domain in domains {
+            let Some(placer) = self.placers.get(&domain) else { continue };
+            if placer.seat == self.config.seat {
+                self.placer.want(now, want);
+            } else {
+                let address = placer.seat.address.clone();
+                self.send(&address, PeerMessage::Want(want.clone()));
+            }
+        }
+    }
+}
+
+/// Returns the team for which a request may run under `snapshot`; `None` stands for a caller
+/// without a key on an open route.
+fn authorize(snapshot: &Snapshot, spec: &NewRequest) -> Result<Option<TeamName>, ResultCode> {
+    let team = match &spec.key {
+        Some(hash) => Some(snapshot.team_of_key(hash).ok_or(ResultCode::KeyRejected)?.clone()),
+        None => None,
+    };
+    match &spec.goal {
+        RequestGoal::Model(model) => {
+            let team = team.ok_or(ResultCode::KeyRejected)?;
+            if !snapshot.permits(&team, model) {
+                // A team learns nothing about models that it may not use.
+                return Err(ResultCode::NotPermitted);
+            }
+            Ok(Some(team))
+        }
+        RequestGoal::Route(name) => {
+            let route = snapshot.route(name).ok_or(ResultCode::NotFound)?;
+            match (snapshot.permits_route(team.as_ref(), route), &team) {
+                (true, _) => Ok(team),
+                (false, None) => Err(ResultCode::KeyRejected),
+                (false, Some(_)) => Err(ResultCode::NotPermitted),
+            }
+        }
+    }
+}
+
+/// Returns whether the configuration lets a model run anywhere.
+fn can_ever_run(snapshot: &Snapshot, model: &ModelName) -> bool {
+    let Some(servable) = snapshot.servable(model) else { return false };
+    let base = servable.base.unwrap_or(servable.name);
+    let extra = servable.base.and_then(|base| snapshot.servable(base)).map(|base| base.memory);
+    let need = servable.memory + extra.unwrap_or_default();
+    let fits =
+        |target: &config::TargetObject| target.memory >= need && snapshot.may_place(base, target);
+    snapshot.copies(base) > 0 && snapshot.targets().any(fits)
+}
+
+/// Returns the failure domains that may hold a model, sorted.
+fn domains_of(snapshot: &Snapshot, model: &ModelName) -> Vec<base::DomainName> {
+    let Some(servable) = snapshot.servable(model) else { return Vec::new() };
+    let base = servable.base.unwrap_or(servable.name);
+    let targets = snapshot.targets().filter(|target| snapshot.may_place(base, target));
+    let mut domains: Vec<_> = targets.map(|target| target.domain.clone()).collect();
+    domains.sort();
+    domains.dedup();
+    domains
+}
--- /dev/null
+++ b/crates/node/src/view.rs
@@ -0,0 +1,70 @@
+//! Where replicas are, as the placers of all failure domains tell.
+
+use base::{DomainName, ModelName, SortedMap, TargetName, Time};
+
+use crate::DomainView;
+
+/// A view that is older than this does not keep another failure domain from loading.
+const VIEW_SPAN: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// The views of all failure domains, indexed by model.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Views {
+    domains: SortedMap<DomainName, (DomainView, Time)>,
+    by_model: SortedMap<ModelName, Vec<(TargetName, bool)>>,
+}
+
+impl Views {
+    /// Takes a view unless a later one is known. Returns whether it was taken.
+    pub(crate) fn take(&mut self, now: Time, view: DomainView) -> bool {
+        let order = |view: &DomainView| (view.fence, view.version);
+        let known = self.domains.get(&view.domain);
+        if known.is_some_and(|(known, _)| order(known) >= order(&view)) {
+            return false;
+        }
+        let same = known.is_some_and(|(known, _)| known.replicas == view.replicas);
+        self.domains.insert(view.domain.clone(), (view, now));
+        if !same {
+            self.rebuild();
+        }
+        true
+    }
+
+    /// Returns the targets that hold or load a model, with whether it is ready there.
+    pub(crate) fn replicas(&self, model: &ModelName) -> &[(TargetName, bool)] {
+        self.by_model.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the models that other failure domains than `own` lately had loading or ready,
+    /// sorted.
+    pub(crate) fn remote(&self, now: Time, own: &DomainName) -> Vec<ModelName> {
+        let fresh =
+            |entry: &&(DomainView, Time)| entry.0.domain != *own && now.since(entry.1) < VIEW_SPAN;
+        let views = self.domains.values().filter(fresh);
+        let mut models: Vec<ModelName> =
+            views.flat_map(|(view, _)| view.replicas.iter().map(|r| r.model.clone())).collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+
+    /// Iterates over all views.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &DomainView> {
+        self.domains.values().map(|(view, _)| view)
+    }
+
+    fn rebuild(&mut self) {
+        let mut pairs: Vec<(ModelName, (TargetName, bool))> = self
+            .domains
+            .values()
+            .flat_map(|(view, _)| &view.replicas)
+            .map(|replica| (replica.model.clone(), (replica.target.clone(), replica.ready)))
+            .collect();
+        pairs.sort();
+        let mut index: SortedMap<ModelName, Vec<(TargetName, bool)>> = SortedMap::default();
+        for (model, place) in pairs {
+            index.entry(model, Vec::new).push(place);
+        }
+        self.by_model = index;
+    }
+}
--- /dev/null
+++ b/crates/place/src/placer.rs
@@ -0,0 +1,597 @@
+//! The placer of one failure domain.
+
+mod choose;
+mod settle;
+
+use std::time::Duration;
+
+use base::{DomainName, Fence, ModelName, OrderId, Revision, Seat, SortedMap, TargetName, Time};
+use config::Snapshot;
+
+use crate::order::{Order, OrderKind, OrderMessage, OrderOutcome};
+use crate::plan::{CopyLedger, Phase, TargetPlan};
+use crate::policy::{IdlePolicy, KeepAlive};
+use crate::report::TargetReport;
+use crate::want::{Demand, ModelWant, WantAnswer};
+
+/// Orders that one placer term can number.
+const ORDERS_PER_TERM: u64 = 1 << 24;
+/// How long a demand counts after its last repetition.
+const WANT_SPAN: Duration = Duration::from_secs(2);
+
+/// Settings of a placer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlaceConfig {
+    pub(crate) load_slots: usize,
+    pub(crate) adapter_slots: usize,
+    pub(crate) report_span: Duration,
+    pub(crate) unload_delay: Duration,
+    pub(crate) order_drain: Duration,
+    pub(crate) idle_policy: IdlePolicy,
+    pub(crate) reserve: usize,
+}
+
+impl Default for PlaceConfig {
+    fn default() -> Self {
+        PlaceConfig {
+            load_slots: 4,
+            adapter_slots: 30,
+            report_span: Duration::from_secs(3),
+            unload_delay: Duration::from_millis(500),
+            order_drain: Duration::from_secs(120),
+            idle_policy: IdlePolicy::Fitted,
+            reserve: 0,
+        }
+    }
+}
+
+impl PlaceConfig {
+    /// Sets how many models this failure domain loads at once.
+    pub fn load_slots(mut self, slots: usize) -> Self {
+        self.load_slots = slots.max(1);
+        self
+    }
+
+    /// Sets how many adapters this failure domain loads at once.
+    pub fn adapter_slots(mut self, slots: usize) -> Self {
+        self.adapter_slots = slots.max(1);
+        self
+    }
+
+    /// Sets for how long a target's report counts as current.
+    pub fn report_span(mut self, span: Duration) -> Self {
+        self.report_span = span;
+        self
+    }
+
+    /// Sets the time between taking a replica out of routing and ordering its unload.
+    pub fn unload_delay(mut self, delay: Duration) -> Self {
+        self.unload_delay = delay;
+        self
+    }
+
+    /// Sets how long after its issuer is proved gone an order may still arrive.
+    pub fn order_drain(mut self, drain: Duration) -> Self {
+        self.order_drain = drain;
+        self
+    }
+
+    /// Sets when idle replicas are unloaded.
+    pub fn idle_policy(mut self, policy: IdlePolicy) -> Self {
+        self.idle_policy = policy;
+        self
+    }
+
+    /// Sets how many replicas are decided ahead for outages of the key-value service.
+    pub fn reserve(mut self, replicas: usize) -> Self {
+        self.reserve = replicas;
+        self
+    }
+}
+
+/// What the placer learns from its host about the rest of the system.
+#[derive(Clone, Debug, Default)]
+pub struct HostState {
+    /// Whether the lease certainly still holds.
+    pub leased: bool,
+    /// Whether the key-value service answers.
+    pub service_up: bool,
+    /// Seats that are proved gone, and when that was learned.
+    pub gone: Vec<(Seat, Time)>,
+    /// Targets that the host list shows as leaving, sorted.
+    pub leaving: Vec<TargetName>,
+    /// Models with a replica loading or ready in another failure domain that can be reached,
+    /// sorted.
+    pub remote: Vec<ModelName>,
+}
+
+/// A write of one target's plan, with the ledger of a model whose copies change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlaceWrite {
+    /// Target concerned.
+    pub target: TargetName,
+    /// Revision of the plan on which the write depends; 0 when it must not exist.
+    pub expected: Revision,
+    /// The new plan.
+    pub plan: TargetPlan,
+    /// Models whose copies change, with the revision on which the write depends.
+    pub copies: Vec<(ModelName, Revision, CopyLedger)>,
+}
+
+/// How a write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect at this revision.
+    Recorded(Revision),
+    /// Something on which it depends had changed; it has no effect.
+    Conflict,
+    /// The answer was lost or no answer came; it may take effect at any time.
+    Unknown,
+}
+
+/// What a placer asks its host to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlaceAction {
+    /// Record a write, if this seat still holds the lease.
+    Record(PlaceWrite),
+    /// Read the plan of a target.
+    ReadPlan(TargetName),
+    /// Read the ledger of a model.
+    ReadCopies(ModelName),
+    /// Send an order to its target.
+    Send(OrderMessage),
+    /// Ask issuers whether these orders will never be sent.
+    AskIssuer(Seat, Vec<OrderId>),
+    /// Tell the gateways that a load can't be ready in time.
+    Answer(WantAnswer),
+}
+
+/// One replica that requests may use or wait for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Residency {
+    /// Target that holds it.
+    pub target: TargetName,
+    /// Model or adapter.
+    pub model: ModelName,
+    /// Whether it answers requests; false while it loads.
+    pub ready: bool,
+}
+
+/// A report with the moments that bound it.
+#[derive(Clone, Debug)]
+struct HeardReport {
+    report: TargetReport,
+    asked_at: Time,
+}
+
+/// One load order that this seat sent or gave up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SendState {
+    InFlight,
+    Ended(OrderOutcome),
+    Disowned,
+}
+
+/// A target as the placer knows it.
+#[derive(Clone, Debug, Default)]
+struct TargetState {
+    /// Revision of the recorded plan; `None` until it is read.
+    revision: Option<Revision>,
+    reading: bool,
+    plan: TargetPlan,
+    writing: Option<PlaceWrite>,
+    heard: Option<HeardReport>,
+    /// Largest order number that the target acknowledged.
+    acked: OrderId,
+    /// Orders known to be resolved, and since when.
+    resolved: SortedMap<OrderId, Time>,
+    keep: SortedMap<ModelName, KeepAlive>,
+    /// When the replica was taken out of routing, and when its unload was last sent.
+    unloading: SortedMap<ModelName, (Time, Option<Time>)>,
+    loading_since: SortedMap<ModelName, Time>,
+    asked_issuer_at: Option<Time>,
+}
+
+/// Decides placement for one failure domain.
+///
+/// The placer outlives its terms: it remembers the orders that it sent, because an order must not
+/// go out twice, even across a lost and regained lease.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    seat: Seat,
+    domain: DomainName,
+    config: PlaceConfig,
+    fence: Option<Fence>,
+    orders_made: u64,
+    targets: SortedMap<TargetName, TargetState>,
+    copies: SortedMap<ModelName, (Revision, CopyLedger)>,
+    reading_copies: Vec<ModelName>,
+    demands: SortedMap<ModelName, Demand>,
+    sends: SortedMap<OrderId, SendState>,
+    mean_load: SortedMap<bool, Duration>,
+}
+
+impl Placer {
+    /// Creates a placer that holds no lease.
+    pub fn new(seat: Seat, domain: DomainName, config: PlaceConfig) -> Placer {
+        Placer {
+            seat,
+            domain,
+            config,
+            fence: None,
+            orders_made: 0,
+            targets: SortedMap::default(),
+            copies: SortedMap::default(),
+            reading_copies: Vec::new(),
+            demands: SortedMap::default(),
+            sends: SortedMap::default(),
+            mean_load: SortedMap::default(),
+        }
+    }
+
+    /// Returns the fencing number of the present term.
+    pub fn fence(&self) -> Option<Fence> {
+        self.fence
+    }
+
+    /// Starts a term with the plans that were read after the lease was acquired.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        fence: Fence,
+        plans: impl IntoIterator<Item = (TargetName, Revision, TargetPlan)>,
+    ) {
+        self.fence = Some(fence);
+        self.orders_made = 0;
+        self.copies = SortedMap::default();
+        self.reading_copies.clear();
+        let old = std::mem::take(&mut self.targets);
+        for (name, revision, plan) in plans {
+            let mut state = TargetState { revision: Some(revision), ..TargetState::default() };
+            state.heard = old.get(&name).and_then(|state| state.heard.clone());
+            state.set_plan(now, plan);
+            self.targets.insert(name, state);
+        }
+    }
+
+    /// Ends the term. Recorded orders that were not sent stay unsent until the next term.
+    pub fn end(&mut self) {
+        self.fence = None;
+        self.demands = SortedMap::default();
+    }
+
+    /// Takes a gateway's demand.
+    pub fn want(&mut self, now: Time, want: &ModelWant) {
+        let deadline = now + want.time_left;
+        let fresh = || Demand { seen_at: now, deadline, waiting: 0, extra: false };
+        let demand = self.demands.entry(want.model.clone(), fresh);
+        if now.since(demand.seen_at) > WANT_SPAN {
+            *demand = fresh();
+        }
+        demand.seen_at = now;
+        demand.deadline =
+            if now >= demand.deadline { deadline } else { demand.deadline.min(deadline) };
+        demand.waiting = want.waiting;
+        demand.extra = want.extra;
+    }
+
+    /// Takes a target's report, which was asked for at `asked_at`.
+    pub fn report(&mut self, now: Time, target: &TargetName, asked_at: Time, report: TargetReport) {
+        let state = self.targets.entry(target.clone(), TargetState::default);
+        if state.heard.as_ref().is_some_and(|heard| heard.asked_at > asked_at) {
+            return;
+        }
+        state.note_use(now, &report);
+        for id in &report.orders {
+            state.resolved.entry(*id, || asked_at);
+        }
+        state.heard = Some(HeardReport { report, asked_at });
+    }
+
+    /// Takes the end of a write.
+    pub fn written(&mut self, now: Time, target: &TargetName, outcome: WriteOutcome) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        let Some(write) = state.writing.take() else { return };
+        match outcome {
+            WriteOutcome::Recorded(revision) => {
+                state.revision = Some(revision);
+                state.set_plan(now, write.plan);
+                for (model, _, ledger) in write.copies {
+                    self.copies.insert(model, (revision, ledger));
+                }
+            }
+            // The plan is read again. A write that takes effect after that read makes the next
+            // write fail on its revision, so it can't be overwritten unseen.
+            WriteOutcome::Conflict | WriteOutcome::Unknown => {
+                state.revision = None;
+                for (model, _, _) in &write.copies {
+                    self.copies.remove(model);
+                }
+            }
+        }
+    }
+
+    /// Takes a plan that was read; revision 0 stands for none. `None` means that reading failed.
+    pub fn plan_read(
+        &mut self,
+        now: Time,
+        target: &TargetName,
+        read: Option<(Revision, TargetPlan)>,
+    ) {
+        let state = self.targets.entry(target.clone(), TargetState::default);
+        state.reading = false;
+        if let Some((revision, plan)) = read {
+            if state.writing.is_none() {
+                state.revision = Some(revision);
+                state.set_plan(now, plan);
+            }
+        }
+    }
+
+    /// Takes a ledger that was read; revision 0 stands for none. `None` means that reading failed.
+    pub fn copies_read(&mut self, model: &ModelName, read: Option<(Revision, CopyLedger)>) {
+        self.reading_copies.retain(|other| other != model);
+        if let Some(read) = read {
+            self.copies.insert(model.clone(), read);
+        }
+    }
+
+    /// Takes the end of an order that this seat sent.
+    pub fn sent(&mut self, now: Time, target: &TargetName, id: OrderId, outcome: OrderOutcome) {
+        if let Some(send) = self.sends.get_mut(&id) {
+            *send = SendState::Ended(outcome);
+        }
+        let state = self.targets.entry(target.clone(), TargetState::default);
+        if outcome != OrderOutcome::Unknown {
+            state.resolved.entry(id, || now);
+        }
+        if outcome == OrderOutcome::Accepted {
+            state.acked = state.acked.max(id);
+        }
+    }
+
+    /// Returns which of `orders` this seat will never send again, and keeps to that.
+    pub fn disown(&mut self, orders: &[OrderId]) -> Vec<OrderId> {
+        let mut disowned = Vec::new();
+        for id in orders {
+            let leased = self.fence.is_some_and(|fence| order_fence(*id) == fence);
+            let state = *self.sends.entry(*id, || SendState::Disowned);
+            let resolved = match state {
+                SendState::Disowned => true,
+                SendState::Ended(outcome) => outcome != OrderOutcome::Unknown,
+                SendState::InFlight => false,
+            };
+            if resolved && !leased {
+                disowned.push(*id);
+            }
+        }
+        disowned
+    }
+
+    /// Takes an issuer's statement that it will never send these orders again.
+    /// Statements about orders of other issuers have no effect.
+    pub fn disowned(&mut self, now: Time, issuer: &Seat, orders: &[OrderId]) {
+        for state in self.targets.values_mut() {
+            let recorded = state.plan.replicas.values().flat_map(|replica| &replica.orders);
+            let named = recorded.filter(|o| o.issuer == *issuer && orders.contains(&o.id));
+            for id in named.map(|order| order.id).collect::<Vec<_>>() {
+                state.resolved.entry(id, || now);
+            }
+        }
+    }
+
+    /// Decides what to do next.
+    pub fn tick(&mut self, now: Time, snapshot: &Snapshot, host: &HostState) -> Vec<PlaceAction> {
+        let Some(fence) = self.fence else { return Vec::new() };
+        let mut actions = Vec::new();
+        self.demands.retain(|_, demand| now.since(demand.seen_at) <= WANT_SPAN);
+        self.add_targets(snapshot);
+        self.read_plans(&mut actions);
+        if host.leased && host.service_up {
+            self.settle_targets(now, snapshot, host, &mut actions);
+            self.choose_loads(now, snapshot, host, fence, &mut actions);
+        }
+        self.send_orders(now, snapshot, host, &mut actions);
+        actions
+    }
+
+    /// Returns the replicas that requests may use or wait for.
+    pub fn residency(&self, now: Time, host: &HostState) -> Vec<Residency> {
+        let mut residency = Vec::new();
+        for (target, state) in self.targets.iter() {
+            let Some(heard) = state.heard.as_ref() else { continue };
+            let fresh = now.since(heard.asked_at) <= self.config.report_span;
+            if !fresh || host.leaving.binary_search(target).is_ok() {
+                continue;
+            }
+            for (model, replica) in state.plan.replicas.iter() {
+                let (Phase::Loading | Phase::Loaded) = replica.phase else { continue };
+                let ready = heard.report.replica(model).is_some_and(|r| r.ready);
+                residency.push(Residency { target: target.clone(), model: model.clone(), ready });
+            }
+        }
+        residency
+    }
+
+    /// Returns the requests running or waiting at each target, by its last report.
+    pub fn loads(&self) -> Vec<(TargetName, u32)> {
+        let heard = |state: &TargetState| state.heard.as_ref().map(|heard| heard.report.clone());
+        let loads = self.targets.iter().filter_map(|(name, state)| {
+            let report = heard(state)?;
+            Some((name.clone(), report.running + report.waiting))
+        });
+        loads.collect()
+    }
+
+    /// Iterates over the recorded plans, for status pages.
+    pub fn plans(&self) -> impl Iterator<Item = (&TargetName, &TargetPlan)> {
+        self.targets.iter().map(|(name, state)| (name, &state.plan))
+    }
+
+    fn add_targets(&mut self, snapshot: &Snapshot) {
+        for target in snapshot.targets().filter(|target| target.domain == self.domain) {
+            if target.kind == config::TargetKind::Engine {
+                // A plan that was not listed at the start of the term does not exist.
+                let missing = || TargetState { revision: Some(Revision(0)), ..Default::default() };
+                self.targets.entry(target.name.clone(), missing);
+            }
+        }
+    }
+
+    fn read_plans(&mut self, actions: &mut Vec<PlaceAction>) {
+        for (name, state) in self.targets.iter_mut() {
+            if state.revision.is_none() && !state.reading && state.writing.is_none() {
+                state.reading = true;
+                actions.push(PlaceAction::ReadPlan(name.clone()));
+            }
+        }
+    }
+
+    fn next_order(&mut self, fence: Fence) -> OrderId {
+        self.orders_made += 1;
+        OrderId(fence.0 * ORDERS_PER_TERM + self.orders_made)
+    }
+
+    fn send_orders(
+        &mut self,
+        now: Time,
+        snapshot: &Snapshot,
+        host: &HostState,
+        actions: &mut Vec<PlaceAction>,
+    ) {
+        let Some(fence) = self.fence.filter(|_| host.leased) else { return };
+        let mut due = Vec::new();
+        for (name, state) in self.targets.iter() {
+            if state.revision.is_none() || state.writing.is_some() {
+                continue;
+            }
+            let sends = &self.sends;
+            let mut orders = state.plan.replicas.values().flat_map(|replica| &replica.orders);
+            if orders.any(|order| sends.get(&order.id) == Some(&SendState::InFlight)) {
+                continue;
+            }
+            if let Some(order) = state.next_load(name, &self.seat, sends, snapshot) {
+                due.push(order);
+            } else if let Some(model) = state.next_unload(now, &self.config) {
+                due.push((name.clone(), OrderKind::Unload, OrderId(0), model));
+            }
+        }
+        for (target, kind, id, model) in due {
+            let id = if kind == OrderKind::Load { id } else { self.next_order(fence) };
+            self.send_order(now, snapshot, target, kind, id, model, actions);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments)]
+    fn send_order(
+        &mut self,
+        now: Time,
+        snapshot: &Snapshot,
+        target: TargetName,
+        kind: OrderKind,
+        id: OrderId,
+        model: ModelName,
+        actions: &mut Vec<PlaceAction>,
+    ) {
+        let Some(state) = self.targets.get_mut(&target) else { return };
+        let Some(replica) = state.plan.replicas.get(&model) else { return };
+        let base = snapshot.servable(&model).and_then(|servable| servable.base.cloned());
+        let order = Order::decide(target, kind, id, model.clone()).sized(replica.memory, base);
+        let (message, order) = order.recorded().dispatch(Fence(id.0));
+        match kind {
+            OrderKind::Load => {
+                self.sends.insert(order.id(), SendState::InFlight);
+                state.loading_since.insert(model, now);
+            }
+            OrderKind::Unload => {
+                if let Some((_, sent_at)) = state.unloading.get_mut(&model) {
+                    *sent_at = Some(now);
+                }
+            }
+        }
+        actions.push(PlaceAction::Send(message));
+    }
+}
+
+impl TargetState {
+    fn set_plan(&mut self, now: Time, plan: TargetPlan) {
+        for (model, replica) in plan.replicas.iter() {
+            self.keep.entry(model.clone(), || KeepAlive::new(now));
+            for order in replica.orders.iter().filter(|order| order.resolved) {
+                self.resolved.entry(order.id, || now);
+            }
+            match replica.phase {
+                Phase::Unloading => {
+                    self.unloading.entry(model.clone(), || (now, None));
+                }
+                Phase::Loading => {
+                    self.loading_since.entry(model.clone(), || now);
+                }
+                Phase::Reserved | Phase::Loaded => {
+                    self.unloading.remove(model);
+                }
+            }
+        }
+        let known = |model: &ModelName| plan.replicas.contains(model);
+        self.keep.retain(|model, _| known(model));
+        self.unloading.retain(|model, _| known(model));
+        self.loading_since.retain(|model, _| known(model));
+        let orders: Vec<OrderId> =
+            plan.replicas.values().flat_map(|r| r.orders.iter().map(|o| o.id)).collect();
+        self.resolved.retain(|id, _| orders.contains(id));
+        self.plan = plan;
+    }
+
+    fn note_use(&mut self, now: Time, report: &TargetReport) {
+        let former = self.heard.as_ref().map(|heard| &heard.report);
+        for replica in &report.replicas {
+            let before = former.and_then(|report| report.replica(&replica.model));
+            let served_before = before.map_or(0, |before| before.served);
+            if replica.running > 0 || replica.served != served_before {
+                if let Some(keep) = self.keep.get_mut(&replica.model) {
+                    keep.used(now);
+                }
+            }
+        }
+    }
+
+    /// Returns the next recorded load order that this seat has not sent yet.
+    fn next_load(
+        &self,
+        name: &TargetName,
+        seat: &Seat,
+        sends: &SortedMap<OrderId, SendState>,
+        snapshot: &Snapshot,
+    ) -> Option<(TargetName, OrderKind, OrderId, ModelName)> {
+        let loading = |phase| phase == Phase::Loading;
+        let replicas = self.plan.replicas.iter().filter(|(_, replica)| loading(replica.phase));
+        let mut unsent = replicas
+            .flat_map(|(model, replica)| replica.orders.iter().map(move |order| (model, order)));
+        let found = unsent.find(|(model, order)| {
+            order.issuer == *seat
+                && !order.resolved
+                && !sends.contains(&order.id)
+                && snapshot.servable(model).is_some()
+        });
+        found.map(|(model, order)| (name.clone(), OrderKind::Load, order.id, model.clone()))
+    }
+
+    fn next_unload(&self, now: Time, config: &PlaceConfig) -> Option<ModelName> {
+        let due = |since: Time, sent_at: Option<Time>| {
+            now.since(since) >= config.unload_delay
+                && sent_at.is_none_or(|at| now.since(at) > config.unload_delay * 2)
+        };
+        let heard = self.heard.as_ref()?;
+        let idle = |model: &ModelName| heard.report.replica(model).is_some_and(|r| r.running == 0);
+        let mut models = self.unloading.iter();
+        let found = models.find(|(model, (since, sent_at))| {
+            due(*since, *sent_at) && heard.asked_at > *since && idle(model)
+        });
+        found.map(|(model, _)| model.clone())
+    }
+}
+
+/// Returns the fencing number of the term in which an order was made.
+fn order_fence(id: OrderId) -> Fence {
+    Fence(id.0 / ORDERS_PER_TERM)
+}
--- /dev/null
+++ b/crates/place/src/placer/settle.rs
@@ -0,0 +1,221 @@
+//! Brings the recorded plans in line with what targets report and what is configured.
+
+use std::time::Duration;
+
+use base::{ModelName, Revision, TargetName, Time};
+use config::Snapshot;
+
+use super::{HeardReport, HostState, PlaceAction, PlaceWrite, Placer, TargetState};
+use crate::plan::{CopyLedger, Phase, Replica, TargetPlan};
+
+/// How often an issuer is asked about its unresolved orders.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Placer {
+    pub(super) fn settle_targets(
+        &mut self,
+        now: Time,
+        snapshot: &Snapshot,
+        host: &HostState,
+        actions: &mut Vec<PlaceAction>,
+    ) {
+        let names: Vec<TargetName> = self.targets.keys().cloned().collect();
+        for name in names {
+            self.resolve_orders(now, &name, host, snapshot, actions);
+            self.settle_target(now, &name, snapshot, host, actions);
+        }
+    }
+
+    fn resolve_orders(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        host: &HostState,
+        snapshot: &Snapshot,
+        actions: &mut Vec<PlaceAction>,
+    ) {
+        let fencing = snapshot.target(name).is_some_and(|target| target.fencing);
+        let drain = self.config.order_drain;
+        let Some(state) = self.targets.get_mut(name) else { return };
+        let mut open = Vec::new();
+        for order in state.plan.replicas.values().flat_map(|replica| &replica.orders) {
+            if state.resolved.contains(&order.id) {
+                continue;
+            }
+            let fenced = fencing && order.id < state.acked;
+            let gone = host.gone.iter().find(|(seat, _)| *seat == order.issuer);
+            let drained = gone.is_some_and(|(_, since)| now.since(*since) > drain);
+            if fenced || drained {
+                state.resolved.insert(order.id, now);
+            } else if order.issuer != self.seat {
+                open.push(order.clone());
+            }
+        }
+        let may_ask = state.asked_issuer_at.is_none_or(|at| now.since(at) >= ASK_INTERVAL);
+        if !open.is_empty() && may_ask {
+            state.asked_issuer_at = Some(now);
+            for order in open {
+                actions.push(PlaceAction::AskIssuer(order.issuer, vec![order.id]));
+            }
+        }
+    }
+
+    fn settle_target(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        snapshot: &Snapshot,
+        host: &HostState,
+        actions: &mut Vec<PlaceAction>,
+    ) {
+        let leaving = host.leaving.binary_search(name).is_ok();
+        let Some(state) = self.targets.get(name) else { return };
+        let (Some(expected), None, Some(heard)) = (state.revision, &state.writing, &state.heard)
+        else {
+            return;
+        };
+        let mut plan = state.plan.clone();
+        let mut removed = Vec::new();
+        let mut loaded = Vec::new();
+        for (model, replica) in state.plan.replicas.iter() {
+            if state.is_removable(model, replica, heard) {
+                plan.replicas.remove(model);
+                removed.push(model.clone());
+                continue;
+            }
+            let ready = heard.report.replica(model).is_some_and(|report| report.ready);
+            let Some(entry) = plan.replicas.get_mut(model) else { continue };
+            entry.phase = match replica.phase {
+                Phase::Loading if ready => {
+                    loaded.push(model.clone());
+                    Phase::Loaded
+                }
+                Phase::Loaded if self.should_unload(now, snapshot, state, name, model, leaving) => {
+                    Phase::Unloading
+                }
+                phase => phase,
+            };
+        }
+        for model in loaded {
+            self.note_load_time(now, name, &model, snapshot);
+        }
+        self.write_plan(name, expected, plan, &removed, snapshot, actions);
+    }
+
+    /// Records `plan` when it differs from the recorded one, together with the ledgers of the
+    /// removed base models.
+    pub(super) fn write_plan(
+        &mut self,
+        name: &TargetName,
+        expected: Revision,
+        mut plan: TargetPlan,
+        removed: &[ModelName],
+        snapshot: &Snapshot,
+        actions: &mut Vec<PlaceAction>,
+    ) {
+        let Some(state) = self.targets.get(name) else { return };
+        if plan == state.plan {
+            return;
+        }
+        for replica in plan.replicas.values_mut() {
+            for order in &mut replica.orders {
+                order.resolved |= state.resolved.contains(&order.id);
+            }
+        }
+        let mut copies = Vec::new();
+        for model in removed {
+            if snapshot.servable(model).is_some_and(|servable| servable.base.is_some()) {
+                continue;
+            }
+            // The ledger must be known before the replica leaves it.
+            let Some((revision, ledger)) = self.copies.get(model) else {
+                self.read_copies(model, actions);
+                return;
+            };
+            copies.push((model.clone(), *revision, ledger.without(name)));
+        }
+        self.record(PlaceWrite { target: name.clone(), expected, plan, copies }, actions);
+    }
+
+    pub(super) fn record(&mut self, write: PlaceWrite, actions: &mut Vec<PlaceAction>) {
+        if let Some(state) = self.targets.get_mut(&write.target) {
+            state.writing = Some(write.clone());
+            actions.push(PlaceAction::Record(write));
+        }
+    }
+
+    pub(super) fn read_copies(&mut self, model: &ModelName, actions: &mut Vec<PlaceAction>) {
+        if !self.reading_copies.contains(model) {
+            self.reading_copies.push(model.clone());
+            actions.push(PlaceAction::ReadCopies(model.clone()));
+        }
+    }
+
+    pub(super) fn ledger(&self, model: &ModelName) -> Option<&(Revision, CopyLedger)> {
+        self.copies.get(model)
+    }
+
+    fn should_unload(
+        &self,
+        now: Time,
+        snapshot: &Snapshot,
+        state: &TargetState,
+        name: &TargetName,
+        model: &ModelName,
+        leaving: bool,
+    ) -> bool {
+        let Some(servable) = snapshot.servable(model) else { return true };
+        let base = servable.base.unwrap_or(model);
+        let placed = snapshot.target(name).is_some_and(|target| snapshot.may_place(base, target));
+        let is_base = |other: &ModelName| {
+            snapshot.servable(other).is_some_and(|other| other.base == Some(model))
+        };
+        // A base model goes after its adapters.
+        if state.plan.replicas.keys().any(is_base) {
+            return false;
+        }
+        if !placed || leaving {
+            return true;
+        }
+        let wanted = self.demands.contains(model);
+        let expired =
+            state.keep.get(model).is_some_and(|keep| keep.is_expired(now, self.config.idle_policy));
+        expired && !wanted && state.is_idle(model)
+    }
+
+    fn note_load_time(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        model: &ModelName,
+        snapshot: &Snapshot,
+    ) {
+        let Some(state) = self.targets.get(name) else { return };
+        let Some(since) = state.loading_since.get(model) else { return };
+        let span = now.since(*since);
+        let adapter = snapshot.servable(model).is_some_and(|servable| servable.base.is_some());
+        let mean = self.mean_load.entry(adapter, || span);
+        *mean = (*mean * 3 + span) / 4;
+    }
+}
+
+impl TargetState {
+    /// Returns whether the replica is gone for good: the target reported so after every load
+    /// order for it was resolved.
+    fn is_removable(&self, model: &ModelName, replica: &Replica, heard: &HeardReport) -> bool {
+        if replica.phase == Phase::Reserved || heard.report.replica(model).is_some() {
+            return false;
+        }
+        let settled = |order: &crate::LoadOrder| {
+            let executed = heard.report.orders.contains(&order.id);
+            executed || self.resolved.get(&order.id).is_some_and(|at| heard.asked_at > *at)
+        };
+        replica.orders.iter().all(settled)
+    }
+
+    /// Returns whether the target's last report shows no request on the replica.
+    pub(super) fn is_idle(&self, model: &ModelName) -> bool {
+        let report = self.heard.as_ref().and_then(|heard| heard.report.replica(model));
+        report.is_some_and(|report| report.running == 0)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,409 @@
+//! A target: a model engine or a plain service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::Request;
+use serde_json::{json, Value};
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+use crate::http::{self, Reply};
+
+/// The weight store that several targets share: a few loads run at full speed, others wait.
+#[derive(Clone)]
+pub struct WeightStore {
+    slots: Arc<Semaphore>,
+    load_time: Arc<Mutex<Duration>>,
+}
+
+impl WeightStore {
+    /// Creates a store with `slots` loads at once, each taking `load_time`.
+    pub fn new(slots: usize, load_time: Duration) -> WeightStore {
+        let load_time = Arc::new(Mutex::new(load_time));
+        WeightStore { slots: Arc::new(Semaphore::new(slots)), load_time }
+    }
+
+    /// Changes the time that a load takes.
+    pub fn set_load_time(&self, time: Duration) {
+        *self.load_time.lock().unwrap_or_else(PoisonError::into_inner) = time;
+    }
+
+    async fn load(&self) {
+        let Ok(_slot) = self.slots.acquire().await else { return };
+        let time = *self.load_time.lock().unwrap_or_else(PoisonError::into_inner);
+        tokio::time::sleep(time).await;
+    }
+}
+
+/// How a target behaves.
+#[derive(Clone)]
+pub struct TargetOptions {
+    /// Memory for replicas.
+    pub memory: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub fencing: bool,
+    /// Time until the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub token_gap: Duration,
+    /// The weight store.
+    pub weights: WeightStore,
+    /// Time that an adapter load takes.
+    pub adapter_load: Duration,
+}
+
+impl Default for TargetOptions {
+    fn default() -> Self {
+        TargetOptions {
+            memory: 100,
+            fencing: true,
+            first_token: Duration::from_millis(5),
+            token_gap: Duration::from_millis(1),
+            weights: WeightStore::new(4, Duration::from_millis(300)),
+            adapter_load: Duration::from_millis(10),
+        }
+    }
+}
+
+/// What a target saw, for checking promises.
+#[derive(Clone, Debug, Default)]
+pub struct TargetRecord {
+    /// Largest memory that its replicas took at once.
+    pub memory_peak: u64,
+    /// Load orders executed.
+    pub loads: u64,
+    /// Orders refused for their fencing number.
+    pub refused_orders: u64,
+    /// Requests that ran, by their `x-request-id`.
+    pub runs: Vec<String>,
+    /// Bodies of the calls to plain services.
+    pub service_calls: Vec<String>,
+    /// All request heads and bodies, for finding keys in them.
+    pub seen: Vec<String>,
+}
+
+struct Replica {
+    memory: u64,
+    ready: bool,
+    running: u32,
+    served: u64,
+}
+
+#[derive(Default)]
+struct State {
+    replicas: BTreeMap<String, Replica>,
+    orders: Vec<u64>,
+    fence: u64,
+    boot: u64,
+    record: TargetRecord,
+    frozen: bool,
+    cut_after: Option<usize>,
+    lose_orders: u32,
+    decline: bool,
+    wrong_id: bool,
+    delay_orders: Duration,
+}
+
+/// The target stand-in.
+pub struct TargetServer {
+    state: Arc<Mutex<State>>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl TargetServer {
+    /// Starts the stand-in on a free loopback port.
+    pub async fn start(options: TargetOptions) -> std::io::Result<TargetServer> {
+        let state = Arc::new(Mutex::new(State { boot: 1, ..State::default() }));
+        let shared = state.clone();
+        let (address, task) =
+            http::serve(move |request| handle(shared.clone(), options.clone(), request)).await?;
+        Ok(TargetServer { state, address, task })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the target saw.
+    pub fn record(&self) -> TargetRecord {
+        lock(&self.state).record.clone()
+    }
+
+    /// Returns the replicas that are loaded or loading.
+    pub fn loaded(&self) -> Vec<String> {
+        lock(&self.state).replicas.keys().cloned().collect()
+    }
+
+    /// Stops answering without closing connections, or ends that.
+    pub fn set_frozen(&self, frozen: bool) {
+        lock(&self.state).frozen = frozen;
+    }
+
+    /// Breaks each streamed answer off after so many tokens.
+    pub fn cut_after(&self, tokens: Option<usize>) {
+        lock(&self.state).cut_after = tokens;
+    }
+
+    /// Executes the next orders but breaks their answers off.
+    pub fn lose_orders(&self, orders: u32) {
+        lock(&self.state).lose_orders = orders;
+    }
+
+    /// Executes orders late.
+    pub fn delay_orders(&self, delay: Duration) {
+        lock(&self.state).delay_orders = delay;
+    }
+
+    /// Refuses all model requests as not run, or ends that.
+    pub fn set_declining(&self, decline: bool) {
+        lock(&self.state).decline = decline;
+    }
+
+    /// Labels answers with another request's identifier, or ends that.
+    pub fn set_crossed(&self, crossed: bool) {
+        lock(&self.state).wrong_id = crossed;
+    }
+
+    /// Loses all replicas, as a restart does.
+    pub fn restart(&self) {
+        let mut state = lock(&self.state);
+        state.replicas.clear();
+        state.orders.clear();
+        state.boot += 1;
+    }
+}
+
+impl Drop for TargetServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn handle(
+    state: Arc<Mutex<State>>,
+    options: TargetOptions,
+    request: Request<Incoming>,
+) -> Option<Reply> {
+    let head = format!("{} {} {:?}", request.method(), request.uri(), request.headers());
+    let path = request.uri().path().to_owned();
+    let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+    let id = id.unwrap_or_default().to_owned();
+    let body = http::read_body(request).await;
+    while lock(&state).frozen {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    match path.as_str() {
+        "/metrics" => Some(metrics(&state)),
+        "/orders/replicas" => Some(replicas(&state)),
+        "/orders/load" | "/orders/unload" => order(state, options, &path, &body).await,
+        _ => {
+            let text = String::from_utf8_lossy(&body);
+            lock(&state).record.seen.push(format!("{head}\n{text}"));
+            match path.starts_with("/v1/") {
+                true => complete(state, options, &path, id, &body).await,
+                false => serve_call(state, options, &text).await,
+            }
+        }
+    }
+}
+
+fn metrics(state: &Mutex<State>) -> Reply {
+    let running: u32 = lock(state).replicas.values().map(|replica| replica.running).sum();
+    let text = format!(
+        "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running {running}\n\
+         # TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting 0\n"
+    );
+    http::full(200, "text/plain; version=0.0.4", text)
+}
+
+fn replicas(state: &Mutex<State>) -> Reply {
+    let state = lock(state);
+    let replicas: Vec<Value> = state
+        .replicas
+        .iter()
+        .map(|(model, replica)| {
+            json!({"model": model, "ready": replica.ready, "running": replica.running,
+                   "served": replica.served})
+        })
+        .collect();
+    http::json(200, &json!({"boot": state.boot, "replicas": replicas, "orders": state.orders}))
+}
+
+async fn order(
+    state: Arc<Mutex<State>>,
+    options: TargetOptions,
+    path: &str,
+    body: &Bytes,
+) -> Option<Reply> {
+    let input: Value = serde_json::from_slice(body).unwrap_or_default();
+    let model = input["model"].as_str().unwrap_or_default().to_owned();
+    let fence = input["fence"].as_u64().unwrap_or(0);
+    let delay = lock(&state).delay_orders;
+    tokio::time::sleep(delay).await;
+    let mut locked = lock(&state);
+    if path == "/orders/load" {
+        locked.orders.push(input["order"].as_u64().unwrap_or(0));
+    }
+    if options.fencing && fence < locked.fence {
+        locked.record.refused_orders += 1;
+        return Some(http::json(409, &json!({"error": "old fencing number"})));
+    }
+    locked.fence = locked.fence.max(fence);
+    if path == "/orders/unload" {
+        locked.replicas.remove(&model);
+    } else if !locked.replicas.contains_key(&model) {
+        let memory = input["memory"].as_u64().unwrap_or(0);
+        let replica = Replica { memory, ready: false, running: 0, served: 0 };
+        locked.replicas.insert(model.clone(), replica);
+        locked.record.loads += 1;
+        let taken: u64 = locked.replicas.values().map(|replica| replica.memory).sum();
+        locked.record.memory_peak = locked.record.memory_peak.max(taken);
+        let (boot, adapter) = (locked.boot, input["base"].is_string());
+        tokio::spawn(load(state.clone(), options, model, boot, adapter));
+    }
+    let lost = locked.lose_orders > 0;
+    locked.lose_orders -= u32::from(lost);
+    drop(locked);
+    (!lost).then(|| http::json(202, &json!({"accepted": true})))
+}
+
+async fn load(
+    state: Arc<Mutex<State>>,
+    options: TargetOptions,
+    model: String,
+    boot: u64,
+    adapter: bool,
+) {
+    match adapter {
+        true => tokio::time::sleep(options.adapter_load).await,
+        false => options.weights.load().await,
+    }
+    let mut state = lock(&state);
+    if state.boot == boot {
+        if let Some(replica) = state.replicas.get_mut(&model) {
+            replica.ready = true;
+        }
+    }
+}
+
+/// Counts a running request on a replica for as long as it lives.
+struct RunGuard {
+    state: Arc<Mutex<State>>,
+    model: String,
+}
+
+impl RunGuard {
+    fn start(state: &Arc<Mutex<State>>, model: &str, id: &str) -> Option<RunGuard> {
+        let mut locked = lock(state);
+        if locked.decline {
+            return None;
+        }
+        let replica = locked.replicas.get_mut(model).filter(|replica| replica.ready)?;
+        replica.running += 1;
+        locked.record.runs.push(id.to_owned());
+        Some(RunGuard { state: state.clone(), model: model.to_owned() })
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(replica) = lock(&self.state).replicas.get_mut(&self.model) {
+            replica.running = replica.running.saturating_sub(1);
+            replica.served += 1;
+        }
+    }
+}
+
+async fn complete(
+    state: Arc<Mutex<State>>,
+    options: TargetOptions,
+    path: &str,
+    id: String,
+    body: &Bytes,
+) -> Option<Reply> {
+    let input: Value = serde_json::from_slice(body).unwrap_or_default();
+    let model = input["model"].as_str().unwrap_or_default().to_owned();
+    let Some(guard) = RunGuard::start(&state, &model, &id) else {
+        return Some(http::json(404, &json!({"error": {"message": "model not loaded"}})));
+    };
+    let tokens = input["max_tokens"].as_u64().unwrap_or(8) as usize;
+    let wrong = lock(&state).wrong_id;
+    let cut = lock(&state).cut_after;
+    let echo = if wrong { "another-request".to_owned() } else { id };
+    tokio::time::sleep(options.first_token).await;
+    let mut reply = if input["stream"].as_bool() == Some(true) {
+        stream_tokens(guard, model, echo.clone(), tokens, cut, options.token_gap)
+    } else {
+        tokio::time::sleep(options.token_gap * u32::try_from(tokens).unwrap_or(0)).await;
+        if cut.is_some() {
+            return None;
+        }
+        drop(guard);
+        let text = format!("{echo}:{tokens}");
+        let usage = json!({"prompt_tokens": 4, "completion_tokens": tokens,
+                           "total_tokens": tokens + 4});
+        let answer = match path {
+            "/v1/embeddings" => json!({"data": [{"embedding": [0.5, 0.25], "index": 0}],
+                                       "model": model, "usage": usage}),
+            _ => json!({"id": echo, "model": model, "usage": usage, "choices": [
+                {"index": 0, "message": {"role": "assistant", "content": text}, "text": text,
+                 "finish_reason": "stop"}]}),
+        };
+        http::json(200, &answer)
+    };
+    if let Ok(value) = echo.parse() {
+        reply.headers_mut().insert("x-request-id", value);
+    }
+    Some(reply)
+}
+
+fn stream_tokens(
+    guard: RunGuard,
+    model: String,
+    id: String,
+    tokens: usize,
+    cut: Option<usize>,
+    gap: Duration,
+) -> Reply {
+    let chunks = futures::stream::unfold((0, guard), move |(sent, guard)| {
+        let (model, id) = (model.clone(), id.clone());
+        async move {
+            if cut == Some(sent) {
+                let cut = Err(std::io::Error::other("cut"));
+                return Some((cut, (usize::MAX - 1, guard)));
+            }
+            if sent > tokens {
+                return None;
+            }
+            tokio::time::sleep(gap).await;
+            let text = if sent == tokens {
+                "data: [DONE]\n\n".to_owned()
+            } else {
+                let delta = json!({"id": id, "model": model, "choices": [
+                    {"index": 0, "delta": {"content": format!("{id}:{sent} ")}}]});
+                format!("data: {delta}\n\n")
+            };
+            Some((Ok(Bytes::from(text)), (sent + 1, guard)))
+        }
+    });
+    http::streamed("text/event-stream", chunks)
+}
+
+async fn serve_call(state: Arc<Mutex<State>>, options: TargetOptions, text: &str) -> Option<Reply> {
+    tokio::time::sleep(options.first_token).await;
+    let mut state = lock(&state);
+    state.record.service_calls.push(text.to_owned());
+    let cut = state.cut_after.is_some();
+    (!cut).then(|| http::json(200, &json!({"booked": text})))
+}
--- /dev/null
+++ b/crates/store/src/host.rs
@@ -0,0 +1,76 @@
+//! The platform's host list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{DomainName, Name};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use node::{HostEntry, HostRole, HostsReport};
+use serde::Deserialize;
+use tokio::net::TcpStream;
+
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_LIST_BYTES: usize = 8 << 20;
+
+#[derive(Deserialize)]
+struct HostsJson {
+    hosts: Vec<HostJson>,
+}
+
+#[derive(Deserialize)]
+struct HostJson {
+    role: RoleJson,
+    name: Name,
+    domain: DomainName,
+    state: StateJson,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RoleJson {
+    Entry,
+    Target,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum StateJson {
+    Live,
+    Leaving,
+}
+
+impl From<HostJson> for HostEntry {
+    fn from(json: HostJson) -> HostEntry {
+        let role = match json.role {
+            RoleJson::Entry => HostRole::Entry,
+            RoleJson::Target => HostRole::Target,
+        };
+        let leaving = json.state == StateJson::Leaving;
+        HostEntry { role, name: json.name, domain: json.domain, leaving }
+    }
+}
+
+/// Reads the host list; `None` when it can't be read whole.
+pub async fn read_hosts(address: SocketAddr) -> Option<HostsReport> {
+    tokio::time::timeout(READ_TIMEOUT, fetch(address)).await.ok()?
+}
+
+async fn fetch(address: SocketAddr) -> Option<HostsReport> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let driver = tokio::spawn(connection);
+    let request = Request::get("/hosts")
+        .header("host", address.to_string())
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await;
+    driver.abort();
+    let json: HostsJson = serde_json::from_slice(&body.ok()?.to_bytes()).ok()?;
+    let hosts = json.hosts.into_iter().map(HostEntry::from).collect();
+    Some(HostsReport { hosts })
+}
