--- a/crates/grant/src/bucket.rs
+++ b/crates/grant/src/bucket.rs
@@ -198,6 +198,19 @@
     }
 
     fn refill(&mut self, now: Time) {
+        if let Some((units, from)) = self.pending_units.filter(|(_, from)| now >= *from) {
+            self.accrue(from);
+            self.units = units;
+            self.pending_units = None;
+            self.filled_at = self.filled_at.max(from);
+        }
+        self.accrue(now);
+        self.lent.retain(|loan| now < loan.expires);
+        self.borrowed.retain(|loan| now < loan.until || loan.left == MicroTokens::ZERO);
+    }
+
+    /// Adds what accrued until `now`. The cap applies with the loans that were outstanding.
+    fn accrue(&mut self, now: Time) {
         let span = now.since(self.filled_at);
         let accrued = MicroTokens::accrued(self.allowance.rate, self.units, span);
         // Rounding down must not swallow the accrual of short spans, so the time only advances
@@ -206,16 +219,8 @@
             self.filled_at = self.filled_at.max(now);
             self.level = self.level.add(accrued);
         }
-        // The cap applies with the loans that were outstanding during the span.
         self.clamp();
         self.note_peak();
-        self.lent.retain(|loan| now < loan.expires);
-        self.borrowed.retain(|loan| now < loan.until || loan.left == MicroTokens::ZERO);
-        if let Some((units, _)) = self.pending_units.filter(|(_, from)| now >= *from) {
-            self.units = units;
-            self.pending_units = None;
-            self.filled_at = self.filled_at.max(now);
-        }
     }
 
     fn clamp(&mut self) {
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -52,8 +52,6 @@
     /// Entry hosts that were listed once.
     listed: SortedMap<Address, ()>,
     leaving: Vec<TargetName>,
-    /// Seats proved gone, and when that was learned.
-    gone: Vec<(Seat, Time)>,
 }
 
 impl Members {
@@ -71,12 +69,11 @@
             hosts: None,
             listed: SortedMap::default(),
             leaving: Vec::new(),
-            gone: Vec::new(),
         }
     }
 
     /// Takes a roster as it is stored. Older revisions than the known one are ignored.
-    pub(crate) fn roster_seen(&mut self, now: Time, entry: &KeyValue) {
+    pub(crate) fn roster_seen(&mut self, entry: &KeyValue) {
         let Some(name) = entry.key.strip_prefix(ROSTER_PREFIX) else { return };
         let Ok(domain) = from_component(name).parse::<DomainName>() else { return };
         let Some(roster) = parse::<Roster>(entry) else { return };
@@ -84,10 +81,6 @@
         if known.is_some_and(|(revision, _)| *revision >= entry.revision) {
             return;
         }
-        let former = known.map(|(_, roster)| roster.clone()).unwrap_or_default();
-        for seat in former.iter().filter(|seat| !roster.holds(seat)) {
-            self.gone.push((seat, now));
-        }
         if domain == self.domain {
             self.giving = self.giving.take().filter(|giving| giving.revision >= entry.revision);
         }
@@ -225,8 +218,9 @@
         &self.leaving
     }
 
-    pub(crate) fn gone(&self) -> &[(Seat, Time)] {
-        &self.gone
+    /// Returns the seats of this failure domain, sorted, when they are known.
+    pub(crate) fn seated(&self) -> Option<Vec<Seat>> {
+        self.own_roster().map(|(_, roster)| roster.iter().collect())
     }
 
     /// Iterates over the status of all seats.
--- a/crates/node/src/node/placing.rs
+++ b/crates/node/src/node/placing.rs
@@ -112,7 +112,7 @@
         let host = HostState {
             leased: self.is_leased(now),
             service_up: self.service_up,
-            gone: self.members.gone().to_vec(),
+            seats: self.members.seated(),
             leaving: self.members.leaving().to_vec(),
             remote: self.views.remote(now, &self.config.domain),
         };
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -95,7 +95,7 @@
         match team {
             Some(team) if cost > TokenCount::ZERO => {
                 if self.tokens.charge(now, &team, wait) {
-                    self.charged(id);
+                    self.charged(now, id);
                 } else {
                     self.traces.add(now, id, TraceStep::WaitsForTokens);
                 }
@@ -104,7 +104,8 @@
         }
     }
 
-    fn charged(&mut self, id: RequestId) {
+    fn charged(&mut self, now: Time, id: RequestId) {
+        self.traces.add(now, id, TraceStep::Charged);
         if let Some(request) = self.requests.get_mut(&id) {
             request.charged = true;
             self.enqueue(id);
@@ -133,7 +134,7 @@
         let mut messages = Vec::new();
         for verdict in self.tokens.pump(now, &peers, &mut messages) {
             match verdict {
-                TokenVerdict::Charged(id) => self.charged(id),
+                TokenVerdict::Charged(id) => self.charged(now, id),
                 TokenVerdict::Refused(id, after) => {
                     self.refuse(now, id, ResultCode::RateExceeded, Some(after));
                 }
--- a/crates/node/src/node/storing.rs
+++ b/crates/node/src/node/storing.rs
@@ -67,7 +67,7 @@
             self.tell_revision();
         }
         for entry in rosters {
-            self.members.roster_seen(now, entry);
+            self.members.roster_seen(entry);
         }
         self.placers = Default::default();
         for entry in placers {
@@ -86,7 +86,7 @@
                 None => self.out.note(format!("unreadable change {}", entry.key)),
             },
             KeyEvent::Put(entry) if entry.key.starts_with(ROSTER_PREFIX) => {
-                self.members.roster_seen(now, entry);
+                self.members.roster_seen(entry);
             }
             KeyEvent::Put(entry) if entry.key.starts_with(PLACER_PREFIX) => self.placer_seen(entry),
             KeyEvent::Deleted(key, revision) if key.starts_with(PLACER_PREFIX) => {
@@ -147,7 +147,7 @@
             (OpPurpose::RosterRead, StoreResult::Read(read)) => {
                 self.members.writing = false;
                 if let Some(Some(entry)) = read {
-                    self.members.roster_seen(now, &entry);
+                    self.members.roster_seen(&entry);
                 }
             }
             (OpPurpose::Leave, _) => self.out.actions.push(Action::Drained),
@@ -170,7 +170,7 @@
             }
             (OpPurpose::CopiesRead(model), StoreResult::Read(read)) => {
                 let read = read.map(|entry| read_doc(entry.as_ref()));
-                self.placer.copies_read(&model, read);
+                self.placer.copies_read(now, &model, read);
             }
             (OpPurpose::Claim(request), StoreResult::Txn(outcome)) => {
                 self.claim_written(now, request, outcome);
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -54,6 +54,8 @@
 pub enum TraceStep {
     /// It waits for its team's allowance.
     WaitsForTokens,
+    /// Its tokens were charged.
+    Charged,
     /// It waits for a replica to be loaded.
     WaitsForReplica,
     /// It waits for a free slot on a target.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1,13 +1,17 @@
 //! The placer of one failure domain.
 
 mod choose;
+mod estimate;
 mod settle;
 
 use std::time::Duration;
 
-use base::{DomainName, Fence, ModelName, OrderId, Revision, Seat, SortedMap, TargetName, Time};
+use base::{
+    ByteSize, DomainName, Fence, ModelName, OrderId, Revision, Seat, SortedMap, TargetName, Time,
+};
 use config::Snapshot;
 
+use self::estimate::LoadTimes;
 use crate::order::{Order, OrderKind, OrderMessage, OrderOutcome};
 use crate::plan::{CopyLedger, Phase, TargetPlan};
 use crate::policy::{IdlePolicy, KeepAlive};
@@ -96,8 +100,9 @@
     pub leased: bool,
     /// Whether the key-value service answers.
     pub service_up: bool,
-    /// Seats that are proved gone, and when that was learned.
-    pub gone: Vec<(Seat, Time)>,
+    /// The present seats of the failure domain, sorted; `None` while they are not known. A seat
+    /// leaves only by its own act or with proof that it is gone.
+    pub seats: Option<Vec<Seat>>,
     /// Targets that the host list shows as leaving, sorted.
     pub leaving: Vec<TargetName>,
     /// Models with a replica loading or ready in another failure domain that can be reached,
@@ -188,10 +193,19 @@
     keep: SortedMap<ModelName, KeepAlive>,
     /// When the replica was taken out of routing, and when its unload was last sent.
     unloading: SortedMap<ModelName, (Time, Option<Time>)>,
+    /// When the load was last ordered, or the entry was first seen.
     loading_since: SortedMap<ModelName, Time>,
     asked_issuer_at: Option<Time>,
 }
 
+/// A model's ledger as it was last read or written.
+#[derive(Clone, Debug)]
+struct KnownLedger {
+    revision: Revision,
+    ledger: CopyLedger,
+    read_at: Time,
+}
+
 /// Decides placement for one failure domain.
 ///
 /// The placer outlives its terms: it remembers the orders that it sent, because an order must not
@@ -204,11 +218,13 @@
     fence: Option<Fence>,
     orders_made: u64,
     targets: SortedMap<TargetName, TargetState>,
-    copies: SortedMap<ModelName, (Revision, CopyLedger)>,
+    copies: SortedMap<ModelName, KnownLedger>,
     reading_copies: Vec<ModelName>,
     demands: SortedMap<ModelName, Demand>,
     sends: SortedMap<OrderId, SendState>,
-    mean_load: SortedMap<bool, Duration>,
+    /// Issuers of unresolved orders that are no longer seated, and since when that is known.
+    gone: SortedMap<Seat, Time>,
+    load_times: LoadTimes,
 }
 
 impl Placer {
@@ -225,7 +241,8 @@
             reading_copies: Vec::new(),
             demands: SortedMap::default(),
             sends: SortedMap::default(),
-            mean_load: SortedMap::default(),
+            gone: SortedMap::default(),
+            load_times: LoadTimes::default(),
         }
     }
 
@@ -250,6 +267,11 @@
             let mut state = TargetState { revision: Some(revision), ..TargetState::default() };
             state.heard = old.get(&name).and_then(|state| state.heard.clone());
             state.set_plan(now, plan);
+            if let Some(heard) = &state.heard {
+                for id in &heard.report.orders {
+                    state.resolved.entry(*id, || heard.asked_at);
+                }
+            }
             self.targets.insert(name, state);
         }
     }
@@ -282,6 +304,9 @@
             return;
         }
         state.note_use(now, &report);
+        for (span, bytes) in state.finished_loads(now, &report) {
+            self.load_times.add(now, span, bytes);
+        }
         for id in &report.orders {
             state.resolved.entry(*id, || asked_at);
         }
@@ -297,7 +322,7 @@
                 state.revision = Some(revision);
                 state.set_plan(now, write.plan);
                 for (model, _, ledger) in write.copies {
-                    self.copies.insert(model, (revision, ledger));
+                    self.copies.insert(model, KnownLedger { revision, ledger, read_at: now });
                 }
             }
             // The plan is read again. A write that takes effect after that read makes the next
@@ -329,10 +354,15 @@
     }
 
     /// Takes a ledger that was read; revision 0 stands for none. `None` means that reading failed.
-    pub fn copies_read(&mut self, model: &ModelName, read: Option<(Revision, CopyLedger)>) {
+    pub fn copies_read(
+        &mut self,
+        now: Time,
+        model: &ModelName,
+        read: Option<(Revision, CopyLedger)>,
+    ) {
         self.reading_copies.retain(|other| other != model);
-        if let Some(read) = read {
-            self.copies.insert(model.clone(), read);
+        if let Some((revision, ledger)) = read {
+            self.copies.insert(model.clone(), KnownLedger { revision, ledger, read_at: now });
         }
     }
 
@@ -522,9 +552,17 @@
             }
             match replica.phase {
                 Phase::Unloading => {
+                    self.loading_since.remove(model);
                     self.unloading.entry(model.clone(), || (now, None));
                 }
                 Phase::Loading => {
+                    self.unloading.remove(model);
+                    let last = |plan: &TargetPlan| {
+                        plan.replicas.get(model).and_then(|r| r.orders.last()).map(|o| o.id)
+                    };
+                    if last(&self.plan) != last(&plan) {
+                        self.loading_since.insert(model.clone(), now);
+                    }
                     self.loading_since.entry(model.clone(), || now);
                 }
                 Phase::Reserved | Phase::Loaded => {
@@ -555,6 +593,22 @@
         }
     }
 
+    /// Returns how long the loads took that a report is the first to show as ready, and the memory
+    /// of each.
+    fn finished_loads(&mut self, now: Time, report: &TargetReport) -> Vec<(Duration, ByteSize)> {
+        let plan = &self.plan;
+        let mut finished = Vec::new();
+        self.loading_since.retain(|model, since| {
+            let ready = report.replica(model).is_some_and(|replica| replica.ready);
+            let replica = plan.replicas.get(model).filter(|_| ready);
+            if let Some(replica) = replica {
+                finished.push((now.since(*since), replica.memory));
+            }
+            replica.is_none()
+        });
+        finished
+    }
+
     /// Returns the next recorded load order that this seat has not sent yet.
     fn next_load(
         &self,
--- a/crates/place/src/placer/choose.rs
+++ b/crates/place/src/placer/choose.rs
@@ -12,6 +12,8 @@
 /// How long a replica that does not appear on its target is waited for before its load is
 /// ordered anew.
 const REORDER_AFTER: Duration = Duration::from_secs(2);
+/// How long a ledger without a free copy is believed.
+const LEDGER_SPAN: Duration = Duration::from_millis(500);
 /// How long a load counts as occupying a slot of the weight store.
 const SLOT_SPAN: Duration = Duration::from_secs(60);
 
@@ -79,10 +81,11 @@
         ahead: usize,
         actions: &mut Vec<PlaceAction>,
     ) -> bool {
-        let adapter = servable.base.is_some();
-        let Some(mean) = self.mean_load.get(&adapter) else { return false };
-        let slots = if adapter { self.config.adapter_slots } else { self.config.load_slots };
-        let rounds = u32::try_from(ahead / slots + 1).unwrap_or(u32::MAX);
+        // Loads of adapters take milliseconds and are never the reason for being late.
+        let Some(mean) = self.load_times.expected(now).filter(|_| servable.base.is_none()) else {
+            return false;
+        };
+        let rounds = u32::try_from(ahead / self.config.load_slots + 1).unwrap_or(u32::MAX);
         let expected = mean.saturating_mul(rounds);
         // Half of the expected time is granted as the estimate's error, so that a wrong refusal
         // is rarer than a late one.
@@ -100,7 +103,10 @@
             snapshot.servable(model).is_some_and(|servable| servable.base.is_some() == adapter)
         };
         let occupies = |state: &TargetState, model: &ModelName| {
-            state.loading_since.get(model).is_none_or(|since| now.since(*since) < SLOT_SPAN)
+            let since = state.loading_since.get(model);
+            // A load that is being recorded will take its slot at once.
+            !state.plan.replicas.contains(model)
+                || since.is_some_and(|since| now.since(*since) < SLOT_SPAN)
         };
         let used: usize = self
             .targets
@@ -131,20 +137,22 @@
         }
         let mut copies = None;
         if servable.base.is_none() {
-            let Some((revision, ledger)) = self.ledger(servable.name).cloned() else {
+            let Some(known) = self.copies.get(servable.name).cloned() else {
                 self.read_copies(servable.name, actions);
                 return;
             };
             let remote = host.remote.binary_search(servable.name).is_ok();
-            if ledger.count() > 0 && remote && !demand.extra {
+            if known.ledger.count() > 0 && remote && !demand.extra {
                 return;
             }
-            if ledger.count() >= snapshot.copies(servable.name) as usize {
+            if known.ledger.count() >= snapshot.copies(servable.name) as usize {
                 // Another failure domain may give a copy up at any time.
-                self.copies.remove(servable.name);
+                if now.since(known.read_at) > LEDGER_SPAN {
+                    self.copies.remove(servable.name);
+                }
                 return;
             }
-            copies = Some((revision, ledger));
+            copies = Some((known.revision, known.ledger));
         }
         let candidates = self.candidates(now, snapshot, host, servable);
         let fitting = candidates
@@ -219,11 +227,15 @@
     ) {
         let id = self.next_order(fence);
         let order = LoadOrder { id, issuer: self.seat.clone(), resolved: false };
-        let Some(state) = self.targets.get(target) else { return };
+        let Some(state) = self.targets.get_mut(target) else { return };
         let Some(expected) = state.revision else { return };
+        state.keep.remove(servable.name);
         let mut plan = state.plan.clone();
         let empty = || Replica::new(servable.memory, Phase::Loading, Vec::new());
-        plan.replicas.entry(servable.name.clone(), empty).orders.push(order);
+        let replica = plan.replicas.entry(servable.name.clone(), empty);
+        replica.phase = Phase::Loading;
+        replica.orders.push(order);
+        state.note_resolved(replica);
         let copies = copies.into_iter().collect();
         self.record(PlaceWrite { target: target.clone(), expected, plan, copies }, actions);
     }
@@ -304,13 +316,22 @@
         self.heard.as_ref().is_some_and(|heard| now.since(heard.asked_at) <= span)
     }
 
-    /// Returns whether a recorded load of `model` has had no effect for long, by the target's own
-    /// report, so that it needs another order.
+    /// Returns whether a replica is recorded but, by the target's own report, not there: its load
+    /// has had no effect for long, or it was unloaded and an older order keeps it recorded. Its
+    /// memory and copy are counted, so another order may make use of them.
     fn needs_order(&self, model: &ModelName) -> bool {
         let Some(replica) = self.plan.replicas.get(model) else { return false };
-        let (Some(heard), Some(last)) = (&self.heard, replica.orders.last()) else { return false };
-        let since = self.loading_since.get(model).or(self.resolved.get(&last.id));
-        let overdue = since.is_some_and(|since| heard.asked_at > *since + REORDER_AFTER);
-        replica.phase == Phase::Loading && overdue && heard.report.replica(model).is_none()
+        let Some(heard) = &self.heard else { return false };
+        let after = |since: &Time, span: Duration| heard.asked_at > *since + span;
+        let overdue = match replica.phase {
+            Phase::Loading => {
+                self.loading_since.get(model).is_some_and(|since| after(since, REORDER_AFTER))
+            }
+            Phase::Unloading => {
+                self.unloading.get(model).is_some_and(|(since, _)| after(since, REORDER_AFTER))
+            }
+            Phase::Reserved | Phase::Loaded => false,
+        };
+        overdue && heard.report.replica(model).is_none()
     }
 }
--- a/crates/place/src/placer/settle.rs
+++ b/crates/place/src/placer/settle.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use base::{ModelName, Revision, TargetName, Time};
+use base::{ModelName, OrderId, Revision, TargetName, Time};
 use config::Snapshot;
 
-use super::{HeardReport, HostState, PlaceAction, PlaceWrite, Placer, TargetState};
-use crate::plan::{CopyLedger, Phase, Replica, TargetPlan};
+use super::{HeardReport, HostState, PlaceAction, PlaceWrite, Placer, SendState, TargetState};
+use crate::order::OrderOutcome;
+use crate::plan::{Phase, Replica, TargetPlan};
 
 /// How often an issuer is asked about its unresolved orders.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
@@ -36,15 +37,37 @@
     ) {
         let fencing = snapshot.target(name).is_some_and(|target| target.fencing);
         let drain = self.config.order_drain;
+        let (gone, sends) = (&mut self.gone, &mut self.sends);
         let Some(state) = self.targets.get_mut(name) else { return };
         let mut open = Vec::new();
-        for order in state.plan.replicas.values().flat_map(|replica| &replica.orders) {
+        let replicas = state.plan.replicas.values();
+        let orders = replicas.flat_map(|r| r.orders.iter().map(|order| (r.phase, order)));
+        for (phase, order) in orders {
             if state.resolved.contains(&order.id) {
                 continue;
             }
+            if order.issuer == self.seat {
+                let purpose = matches!(phase, Phase::Reserved | Phase::Loading);
+                let ended = match sends.get(&order.id) {
+                    // It lost its purpose before it was sent, and now never will be.
+                    None if !purpose => {
+                        sends.insert(order.id, SendState::Disowned);
+                        true
+                    }
+                    // An earlier term sent it and learned its end.
+                    Some(SendState::Ended(outcome)) => *outcome != OrderOutcome::Unknown,
+                    Some(SendState::Disowned) => true,
+                    None | Some(SendState::InFlight) => false,
+                };
+                if ended {
+                    state.resolved.insert(order.id, now);
+                    continue;
+                }
+            }
             let fenced = fencing && order.id < state.acked;
-            let gone = host.gone.iter().find(|(seat, _)| *seat == order.issuer);
-            let drained = gone.is_some_and(|(_, since)| now.since(*since) > drain);
+            let seated = |seats: &Vec<base::Seat>| seats.binary_search(&order.issuer).is_ok();
+            let unseated = host.seats.as_ref().is_some_and(|seats| !seated(seats));
+            let drained = unseated && now.since(*gone.entry(order.issuer.clone(), || now)) > drain;
             if fenced || drained {
                 state.resolved.insert(order.id, now);
             } else if order.issuer != self.seat {
@@ -76,7 +99,6 @@
         };
         let mut plan = state.plan.clone();
         let mut removed = Vec::new();
-        let mut loaded = Vec::new();
         for (model, replica) in state.plan.replicas.iter() {
             if state.is_removable(model, replica, heard) {
                 plan.replicas.remove(model);
@@ -86,19 +108,16 @@
             let ready = heard.report.replica(model).is_some_and(|report| report.ready);
             let Some(entry) = plan.replicas.get_mut(model) else { continue };
             entry.phase = match replica.phase {
-                Phase::Loading if ready => {
-                    loaded.push(model.clone());
-                    Phase::Loaded
-                }
+                Phase::Loading if ready => Phase::Loaded,
+                Phase::Loading if snapshot.servable(model).is_none() => Phase::Unloading,
+                // The target lost it; it stays counted while an order is unresolved.
+                Phase::Loaded if heard.report.replica(model).is_none() => Phase::Unloading,
                 Phase::Loaded if self.should_unload(now, snapshot, state, name, model, leaving) => {
                     Phase::Unloading
                 }
                 phase => phase,
             };
         }
-        for model in loaded {
-            self.note_load_time(now, name, &model, snapshot);
-        }
         self.write_plan(name, expected, plan, &removed, snapshot, actions);
     }
 
@@ -114,25 +133,25 @@
         actions: &mut Vec<PlaceAction>,
     ) {
         let Some(state) = self.targets.get(name) else { return };
+        // A successor can't learn from the target any more what this placer knows, if the target
+        // restarts meanwhile.
+        for replica in plan.replicas.values_mut() {
+            state.note_resolved(replica);
+        }
         if plan == state.plan {
             return;
         }
-        for replica in plan.replicas.values_mut() {
-            for order in &mut replica.orders {
-                order.resolved |= state.resolved.contains(&order.id);
-            }
-        }
         let mut copies = Vec::new();
         for model in removed {
             if snapshot.servable(model).is_some_and(|servable| servable.base.is_some()) {
                 continue;
             }
             // The ledger must be known before the replica leaves it.
-            let Some((revision, ledger)) = self.copies.get(model) else {
+            let Some(known) = self.copies.get(model) else {
                 self.read_copies(model, actions);
                 return;
             };
-            copies.push((model.clone(), *revision, ledger.without(name)));
+            copies.push((model.clone(), known.revision, known.ledger.without(name)));
         }
         self.record(PlaceWrite { target: name.clone(), expected, plan, copies }, actions);
     }
@@ -151,10 +170,6 @@
         }
     }
 
-    pub(super) fn ledger(&self, model: &ModelName) -> Option<&(Revision, CopyLedger)> {
-        self.copies.get(model)
-    }
-
     fn should_unload(
         &self,
         now: Time,
@@ -182,21 +197,6 @@
             state.keep.get(model).is_some_and(|keep| keep.is_expired(now, self.config.idle_policy));
         expired && !wanted && state.is_idle(model)
     }
-
-    fn note_load_time(
-        &mut self,
-        now: Time,
-        name: &TargetName,
-        model: &ModelName,
-        snapshot: &Snapshot,
-    ) {
-        let Some(state) = self.targets.get(name) else { return };
-        let Some(since) = state.loading_since.get(model) else { return };
-        let span = now.since(*since);
-        let adapter = snapshot.servable(model).is_some_and(|servable| servable.base.is_some());
-        let mean = self.mean_load.entry(adapter, || span);
-        *mean = (*mean * 3 + span) / 4;
-    }
 }
 
 impl TargetState {
@@ -206,11 +206,27 @@
         if replica.phase == Phase::Reserved || heard.report.replica(model).is_some() {
             return false;
         }
-        let settled = |order: &crate::LoadOrder| {
-            let executed = heard.report.orders.contains(&order.id);
-            executed || self.resolved.get(&order.id).is_some_and(|at| heard.asked_at > *at)
-        };
-        replica.orders.iter().all(settled)
+        replica.orders.iter().all(|order| self.is_settled(order.id, heard))
+    }
+
+    /// Returns whether a report was made after an order was resolved.
+    fn is_settled(&self, id: OrderId, heard: &HeardReport) -> bool {
+        let executed = heard.report.orders.contains(&id);
+        executed || self.resolved.get(&id).is_some_and(|at| heard.asked_at > *at)
+    }
+
+    /// Marks the orders of a replica that are resolved, and drops those that no longer matter.
+    /// One that was resolved after the last report was asked for still does: the report does not
+    /// show its effect.
+    pub(super) fn note_resolved(&self, replica: &mut Replica) {
+        for order in &mut replica.orders {
+            order.resolved |= self.resolved.contains(&order.id);
+        }
+        let last = replica.orders.last().map(|order| order.id);
+        replica.orders.retain(|order| {
+            let settled = self.heard.as_ref().is_some_and(|heard| self.is_settled(order.id, heard));
+            !order.resolved || !settled || Some(order.id) == last
+        });
     }
 
     /// Returns whether the target's last report shows no request on the replica.
