--- /dev/null
+++ b/crates/peer/tests/wire_forms.rs
@@ -0,0 +1,80 @@
+//! Peer messages in their wire form.
+
+use std::time::Duration;
+
+use base::{Fence, Incarnation, OrderId, Revision};
+use grant::{LoanId, LoanOffer, LoanSettlement, MicroTokens};
+use mango_peer::{decode, encode};
+use node::{DomainView, PeerMessage, SnapshotDoc};
+use place::{ModelWant, Residency, WantAnswer};
+use proptest::prelude::*;
+
+fn examples() -> Vec<PeerMessage> {
+    let span = Duration::from_micros(1_234_567);
+    let model: base::ModelName = "lace/veil".parse().unwrap();
+    let team: base::TeamName = "atelier".parse().unwrap();
+    let target: base::TargetName = "helper-1".parse().unwrap();
+    let change = r#"{"revision":7,"id":"c","actor":"o","wall_ms":1,"writes":[]}"#;
+    let offer = LoanOffer { id: LoanId(3), amount: MicroTokens(9) };
+    let settlement = LoanSettlement { id: LoanId(3), returned: MicroTokens(1) };
+    let lender = Incarnation(u64::MAX);
+    vec![
+        PeerMessage::Ping { nonce: u64::MAX, revision: Revision(1) },
+        PeerMessage::Pong {
+            nonce: 1,
+            revision: Revision(2),
+            fresh_age: Some(span),
+            service_up: true,
+        },
+        PeerMessage::Pong { nonce: 1, revision: Revision(2), fresh_age: None, service_up: false },
+        PeerMessage::NeedChanges { from: Revision(4) },
+        PeerMessage::Changes(vec![serde_json::from_str(change).unwrap(); 2]),
+        PeerMessage::Snapshot(SnapshotDoc {
+            revision: Revision(3),
+            last_change: Some("c".parse().unwrap()),
+            objects: Vec::new(),
+        }),
+        PeerMessage::Borrow { draw: 5, team: team.clone(), wanted: MicroTokens(6) },
+        PeerMessage::Lend { draw: 5, team: team.clone(), offer: Some(offer) },
+        PeerMessage::Lend { draw: 5, team: team.clone(), offer: None },
+        PeerMessage::Settle { lender, team, settlement },
+        PeerMessage::Want(ModelWant {
+            model: model.clone(),
+            time_left: span,
+            waiting: 3,
+            extra: true,
+        }),
+        PeerMessage::WantAnswer(WantAnswer { model: model.clone(), retry_after: span }),
+        PeerMessage::View(DomainView {
+            domain: "east".parse().unwrap(),
+            fence: Fence(8),
+            version: 9,
+            replicas: vec![Residency { target: target.clone(), model, ready: true }],
+            loads: vec![(target, 4)],
+        }),
+        PeerMessage::AskOrders(vec![OrderId(1), OrderId(2)]),
+        PeerMessage::Disowned(Vec::new()),
+    ]
+}
+
+#[test]
+fn every_message() {
+    for message in examples() {
+        assert_eq!(decode(&encode(&message)).unwrap(), message);
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn mangled_bytes(at in 0usize..15, position in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut bytes = encode(&examples()[at]);
+        let position = position.index(bytes.len());
+        bytes[position] = byte;
+        let _ = decode(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/route/tests/fair_shares.rs
@@ -0,0 +1,99 @@
+//! Fair sharing, target choice and retry budgets.
+
+use std::time::Duration;
+
+use base::{RequestId, TeamName, Time, TokenCount};
+use mango_route::{FairQueue, LoadTable, QueueEntry, RetryBudget, TargetChoice};
+
+fn team(name: &str) -> Option<TeamName> {
+    Some(name.parse().unwrap())
+}
+
+fn entry(id: u64, name: &str, arrived: Time, priority: i32) -> QueueEntry {
+    QueueEntry { request: RequestId(id), team: team(name), arrived, priority }
+}
+
+/// A team that sends ten times as much is served as often as the other.
+#[test]
+fn equal_turns() {
+    let now = Time::from_millis(10_000);
+    let mut queue = FairQueue::default();
+    for id in 0..100 {
+        queue.push(entry(id, "greedy", now, 0));
+    }
+    for id in 100..110 {
+        queue.push(entry(id, "modest", now, 0));
+    }
+    let mut modest = 0;
+    for _ in 0..20 {
+        let next = queue.order(now)[0];
+        queue.remove(next);
+        let name = if next.0 >= 100 { "modest" } else { "greedy" };
+        modest += u32::from(name == "modest");
+        queue.served(&team(name), TokenCount(10), 1);
+    }
+    assert_eq!(modest, 10);
+}
+
+#[test]
+fn weighted_turns() {
+    let now = Time::from_millis(10_000);
+    let mut queue = FairQueue::default();
+    for id in 0..40 {
+        queue.push(entry(id, "heavy", now, 0));
+        queue.push(entry(100 + id, "light", now, 0));
+    }
+    let mut heavy = 0;
+    for _ in 0..40 {
+        let next = queue.order(now)[0];
+        queue.remove(next);
+        let (name, weight) = if next.0 < 100 { ("heavy", 3) } else { ("light", 1) };
+        heavy += u32::from(name == "heavy");
+        queue.served(&team(name), TokenCount(10), weight);
+    }
+    assert_eq!(heavy, 30);
+}
+
+#[test]
+fn aged_requests() {
+    let mut queue = FairQueue::default();
+    queue.push(entry(1, "a", Time::from_millis(0), -100));
+    queue.push(entry(2, "a", Time::from_millis(4_000), 100));
+    let order = |millis| queue.order(Time::from_millis(millis));
+    assert_eq!(order(4_000)[0], RequestId(1), "an old request goes first in spite of its priority");
+    let mut queue = FairQueue::default();
+    queue.push(entry(1, "a", Time::from_millis(3_999), -100));
+    queue.push(entry(2, "a", Time::from_millis(4_000), 100));
+    assert_eq!(queue.order(Time::from_millis(4_000))[0], RequestId(2));
+}
+
+#[test]
+fn near_before_far() {
+    let mut table = LoadTable::new(7);
+    let choice = |name: &str, near| TargetChoice { target: name.parse().unwrap(), slots: 2, near };
+    let choices = [choice("far", false), choice("near", true)];
+    let now = Time::from_millis(1);
+    let mut chosen = Vec::new();
+    while let Some(target) = table.choose(now, &choices) {
+        table.started(&target);
+        chosen.push(target.to_string());
+    }
+    assert_eq!(chosen, ["near", "near", "far", "far"]);
+    table.ended(&"near".parse().unwrap());
+    table.failed(now, &"near".parse().unwrap());
+    assert_eq!(table.choose(now, &choices), None, "a target that just failed is passed over");
+    assert!(table.choose(now + Duration::from_secs(2), &choices).is_some());
+}
+
+#[test]
+fn bounded_retries() {
+    let now = Time::from_millis(1);
+    let mut budget = RetryBudget::new(now);
+    let mut allowed = 0;
+    for _ in 0..1_000 {
+        budget.request();
+        allowed += u32::from(budget.take(now));
+    }
+    // Fifty saved up, and a fifth of the requests.
+    assert_eq!(allowed, 249);
+}
