--- a/crates/node/tests/fleet/step.rs
+++ b/crates/node/tests/fleet/step.rs
@@ -11,25 +11,58 @@
 #[derive(Clone, Debug)]
 pub enum Step {
     Advance(u64),
-    Request { host: usize, model: usize, cost: u64, patience_ms: u64 },
-    Book { host: usize, key: u64 },
+    Request {
+        host: usize,
+        model: usize,
+        cost: u64,
+        patience_ms: u64,
+    },
+    /// Several requests at once, so that allowances run out.
+    Burst {
+        host: usize,
+        count: usize,
+        cost: u64,
+        patience_ms: u64,
+    },
+    Book {
+        host: usize,
+        key: u64,
+    },
     Kill(usize),
     Start(usize),
     Unlist(usize),
-    Freeze { host: usize, before_actions: bool },
+    Freeze {
+        host: usize,
+        before_actions: bool,
+    },
     Thaw(usize),
-    CutService { host: usize, cut: bool },
+    CutService {
+        host: usize,
+        cut: bool,
+    },
     ServiceDown(bool),
     ServiceDelay(u64),
     LoseAnswers(u32),
     Loss(u32),
     Slow(u64),
     CutDomains(bool),
-    LoseOrders { target: usize, count: u32 },
-    DelayOrders { target: usize, millis: u64 },
+    LoseOrders {
+        target: usize,
+        count: u32,
+    },
+    DelayOrders {
+        target: usize,
+        millis: u64,
+    },
     RestartTarget(usize),
-    Leave { target: usize, leaving: bool },
-    Propose { host: usize, key: Option<bool> },
+    Leave {
+        target: usize,
+        leaving: bool,
+    },
+    Propose {
+        host: usize,
+        key: Option<bool>,
+    },
 }
 
 impl World {
@@ -41,6 +74,11 @@
             Step::Request { host, model, cost, patience_ms } => {
                 self.request(host, model, cost, Duration::from_millis(patience_ms));
             }
+            Step::Burst { host, count, cost, patience_ms } => {
+                for _ in 0..count {
+                    self.request(host, 0, cost, Duration::from_millis(patience_ms));
+                }
+            }
             Step::Book { host, key } => self.book(host, key),
             Step::Kill(host) => self.kill(host),
             Step::Start(host) => self.start(host),
--- a/crates/node/tests/fleet_fuzz.rs
+++ b/crates/node/tests/fleet_fuzz.rs
@@ -34,6 +34,9 @@
             14 => (host.clone(), 0..3usize, 1u64..200, 200u64..8_000).prop_map(
                 |(host, model, cost, patience_ms)| Step::Request { host, model, cost, patience_ms }
             ),
+            8 => (host.clone(), 2usize..12, 20u64..80, 200u64..3_000).prop_map(
+                |(host, count, cost, patience_ms)| Step::Burst { host, count, cost, patience_ms }
+            ),
             4 => (host.clone(), 0u64..12).prop_map(|(host, key)| Step::Book { host, key }),
             2 => host.clone().prop_map(Step::Kill),
             2 => host.clone().prop_map(Step::Start),
