--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -129,7 +129,7 @@
                     let _ = answer.send(result);
                 }
             }
-            Action::Relist => self.outlets.store.relist(),
+            Action::Watch(watching) => self.outlets.store.set_watching(watching),
             Action::Note(text) => log::info!("{text}"),
             Action::Drained => self.outlets.drained.notify_one(),
         }
--- a/crates/gate/src/operator.rs
+++ b/crates/gate/src/operator.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use node::{Node, ProposalResult};
+use node::{Event, Node, ProposalResult};
 use prometheus_client::registry::Registry;
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
@@ -258,6 +258,7 @@
         let Some(revision) = revision.map(Revision) else {
             return invalid("the parameter revision is missing");
         };
+        self.link.event(Event::Probe(revision));
         let answer = self.link.query(move |node, now| {
             let own = node.snapshot().revision() >= revision;
             let seats = node.seats(now);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -115,6 +115,8 @@
     OrderEnded(TargetName, OrderId, OrderOutcome),
     /// An operator proposes a change.
     Propose(u64, Draft),
+    /// An operator asks where a revision is in force.
+    Probe(base::Revision),
     /// The daemon will shut down: it goes on, but tells the balancer that it is not ready.
     Retire,
     /// The daemon shuts down: it takes no more requests and finishes those that it has.
@@ -175,8 +177,8 @@
     Publish(Arc<Snapshot>),
     /// Answer an operator's proposal.
     Propose(u64, ProposalResult),
-    /// List and watch again: changes were missed.
-    Relist,
+    /// Watch the service and keep a lease from now on, or leave that to others.
+    Watch(bool),
     /// Note a change of state in the log.
     Note(String),
     /// Nothing is left to do before the daemon ends.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -49,7 +49,7 @@
     claim_key, copies_key, placer_key, plan_key, roster_key, CFG_PREFIX, HEAD_KEY, LIVE_PREFIX,
     LOG_PREFIX, PLACER_PREFIX, ROSTER_PREFIX,
 };
-pub use message::{DomainView, PeerMessage, SnapshotDoc};
+pub use message::{DomainView, PeerMessage, RosterDoc, SnapshotDoc, ViewDelta};
 pub use node::{Node, NodeConfig};
 pub use request::{RequestTrace, TraceStep};
 pub use service::{
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -5,20 +5,28 @@
 use base::{Address, DomainName, Incarnation, Revision, Seat, SortedMap, TargetName, Time};
 use grant::{Roster, RosterStep, Units};
 
-use crate::config_sync::{parse, to_json};
-use crate::keys::{from_component, roster_key};
-use crate::{HostEntry, HostRole, HostsReport, KeyValue, SeatStatus, StoreTxn, ROSTER_PREFIX};
-
-/// Seats pinged in a round; a round takes a second.
-const PINGS_PER_ROUND: usize = 8;
-/// A peer that did not answer for this long is passed over where another can do.
+use crate::config_sync::to_json;
+use crate::keys::roster_key;
+use crate::{HostEntry, HostRole, HostsReport, RosterDoc, SeatStatus, StoreTxn};
+
+/// Seats of the own failure domain, and of all others, that are pinged in a round in turn; a
+/// round takes a second. Their number does not depend on the fleet's size.
+const NEAR_PINGS: usize = 2;
+const FAR_PINGS: usize = 1;
+/// Seats of a failure domain that watch the service and tell the others.
+const WATCHERS: usize = 2;
+/// How long a sign of life counts.
 const SILENT_SPAN: Duration = Duration::from_secs(3);
+/// A peer that left a ping unanswered for this long is passed over where another can do.
+const ANSWER_SPAN: Duration = Duration::from_millis(1_500);
 
 /// What a peer last told.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerState {
     pub(crate) incarnation: Incarnation,
     pub(crate) heard_at: Option<Time>,
+    /// First ping since then that is unanswered.
+    pub(crate) asked_at: Option<Time>,
     pub(crate) revision: Option<Revision>,
     /// Moment of the ping whose answer said that the service does not answer.
     pub(crate) cut_off_at: Option<Time>,
@@ -44,7 +52,8 @@
     total: Units,
     rosters: SortedMap<DomainName, (Revision, Roster)>,
     peers: SortedMap<Address, PeerState>,
-    next_ping: usize,
+    next_near: usize,
+    next_far: usize,
     giving: Option<Giving>,
     pub(crate) writing: bool,
     pub(crate) next_write: Time,
@@ -62,7 +71,8 @@
             total,
             rosters: SortedMap::default(),
             peers: SortedMap::default(),
-            next_ping: 0,
+            next_near: 0,
+            next_far: 0,
             giving: None,
             writing: false,
             next_write: Time::ZERO,
@@ -72,19 +82,42 @@
         }
     }
 
-    /// Takes a roster as it is stored. Older revisions than the known one are ignored.
-    pub(crate) fn roster_seen(&mut self, entry: &KeyValue) {
-        let Some(name) = entry.key.strip_prefix(ROSTER_PREFIX) else { return };
-        let Ok(domain) = from_component(name).parse::<DomainName>() else { return };
-        let Some(roster) = parse::<Roster>(entry) else { return };
-        let known = self.rosters.get(&domain);
-        if known.is_some_and(|(revision, _)| *revision >= entry.revision) {
-            return;
+    /// Takes a roster as it is stored. Older revisions than the known one are ignored. Returns
+    /// whether it was taken.
+    pub(crate) fn roster_seen(&mut self, doc: RosterDoc) -> bool {
+        let RosterDoc { domain, revision, roster } = doc;
+        if self.rosters.get(&domain).is_some_and(|(known, _)| *known >= revision) {
+            return false;
         }
         if domain == self.domain {
-            self.giving = self.giving.take().filter(|giving| giving.revision >= entry.revision);
+            self.giving = self.giving.take().filter(|giving| giving.revision >= revision);
         }
-        self.rosters.insert(domain, (entry.revision, roster));
+        self.rosters.insert(domain, (revision, roster));
+        true
+    }
+
+    /// Returns the sum of the rosters' revisions, which grows with each change of any.
+    pub(crate) fn roster_sum(&self) -> u64 {
+        self.rosters.values().map(|(revision, _)| revision.0).sum()
+    }
+
+    /// Returns all rosters as they are stored.
+    pub(crate) fn roster_docs(&self) -> Vec<RosterDoc> {
+        let docs = self.rosters.iter().map(|(domain, (revision, roster))| RosterDoc {
+            domain: domain.clone(),
+            revision: *revision,
+            roster: roster.clone(),
+        });
+        docs.collect()
+    }
+
+    /// Returns whether this seat should watch the service: it is not seated yet, or one of the
+    /// first seats of its failure domain that answer.
+    pub(crate) fn is_watcher(&self, now: Time) -> bool {
+        let Some((_, roster)) = self.own_roster().filter(|_| self.is_seated()) else { return true };
+        let answers = |seat: &Seat| *seat == self.own || self.is_responsive(now, &seat.address);
+        let watchers = roster.iter().filter(answers).take(WATCHERS);
+        watchers.into_iter().any(|seat| seat == self.own)
     }
 
     /// Returns the units that this seat may use.
@@ -180,13 +213,24 @@
             || self.rosters.is_empty()
     }
 
-    /// Returns the seats to ping in this round.
+    /// Returns the seats to ping in this round: those that watch the service for this one, and
+    /// some others in turn.
     pub(crate) fn ping_round(&mut self, now: Time) -> Vec<Seat> {
-        let seats = self.others(now);
-        let count = seats.len().min(PINGS_PER_ROUND);
-        let start = self.next_ping;
-        self.next_ping = (start + count) % seats.len().max(1);
-        (0..count).map(|offset| seats[(start + offset) % seats.len()].clone()).collect()
+        let near = self.near();
+        let all = self.others(now);
+        let far = &all[near.len().min(all.len())..];
+        let mut round: Vec<Seat> = near.iter().take(WATCHERS).cloned().collect();
+        round.extend(in_turn(&near, &mut self.next_near, NEAR_PINGS));
+        round.extend(in_turn(far, &mut self.next_far, FAR_PINGS));
+        round.sort();
+        round.dedup();
+        round
+    }
+
+    /// Notes that a peer was asked for a sign of life.
+    pub(crate) fn asked(&mut self, now: Time, address: &Address) {
+        let peer = self.peers.entry(address.clone(), PeerState::default);
+        peer.asked_at.get_or_insert(now);
     }
 
     /// Notes a sign of life, and returns what is known of the peer.
@@ -196,6 +240,7 @@
             *peer = PeerState { incarnation: seat.incarnation, ..PeerState::default() };
         }
         peer.heard_at = Some(now);
+        peer.asked_at = None;
         peer
     }
 
@@ -205,10 +250,10 @@
         peer.is_none_or(|peer| peer.incarnation != seat.incarnation || peer.heard_at.is_none())
     }
 
-    /// Returns whether the peer answered lately, or was never asked.
+    /// Returns whether the peer left no ping unanswered for long.
     pub(crate) fn is_responsive(&self, now: Time, address: &Address) -> bool {
-        let heard = self.peers.get(address).and_then(|peer| peer.heard_at);
-        heard.is_none_or(|at| now.since(at) < SILENT_SPAN)
+        let asked = self.peers.get(address).and_then(|peer| peer.asked_at);
+        asked.is_none_or(|at| now.since(at) < ANSWER_SPAN)
     }
 
     /// Returns since when every other seat surely had no path to the service, when all of them
@@ -297,3 +342,11 @@
             .collect()
     }
 }
+
+/// Returns up to `count` of the seats, each time the next ones.
+fn in_turn(seats: &[Seat], next: &mut usize, count: usize) -> Vec<Seat> {
+    let count = seats.len().min(count);
+    let start = *next;
+    *next = (start + count) % seats.len().max(1);
+    (0..count).map(|offset| seats[(start + offset) % seats.len()].clone()).collect()
+}
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -6,7 +6,7 @@
     ChangeId, DomainName, Fence, Incarnation, ModelName, OrderId, Revision, TargetName, TeamName,
 };
 use config::{Change, Snapshot, Versioned};
-use grant::{LoanOffer, LoanSettlement, MicroTokens};
+use grant::{LoanOffer, LoanSettlement, MicroTokens, Roster};
 use place::{ModelWant, Residency, WantAnswer};
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +52,77 @@
     pub loads: Vec<(TargetName, u32)>,
 }
 
+/// What changed between two views of one term.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ViewDelta {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Fencing number of the placer's term.
+    pub fence: Fence,
+    /// Version to which the change applies.
+    pub base: u64,
+    /// Version that it makes.
+    pub version: u64,
+    /// Replicas that are new, or whose readiness changed.
+    pub set: Vec<Residency>,
+    /// Replicas that are no more.
+    pub gone: Vec<Residency>,
+    /// Targets whose load changed noticeably.
+    pub loads: Vec<(TargetName, u32)>,
+}
+
+impl ViewDelta {
+    /// Returns what leads from one view to another of the same term.
+    pub fn between(from: &DomainView, to: &DomainView) -> ViewDelta {
+        let without = |list: &[Residency], other: &[Residency]| -> Vec<Residency> {
+            list.iter().filter(|r| other.binary_search(r).is_err()).cloned().collect()
+        };
+        let set = without(&to.replicas, &from.replicas);
+        let mut gone = without(&from.replicas, &to.replicas);
+        gone.retain(|old| !set.iter().any(|new| new.is_same_place(old)));
+        let changed = |load: &&(TargetName, u32)| {
+            let former = from.loads.binary_search_by(|other| other.0.cmp(&load.0));
+            former.map_or(true, |at| is_noticeable(from.loads[at].1, load.1))
+        };
+        let loads = to.loads.iter().filter(changed).cloned().collect();
+        let (base, version) = (from.version, to.version);
+        ViewDelta { domain: to.domain.clone(), fence: to.fence, base, version, set, gone, loads }
+    }
+
+    /// Returns the view that the change makes of `view`, which must be at its base.
+    pub fn apply(&self, view: &DomainView) -> DomainView {
+        let mut next = view.clone();
+        let touched = |r: &Residency| self.set.iter().chain(&self.gone).any(|t| t.is_same_place(r));
+        next.replicas.retain(|replica| !touched(replica));
+        next.replicas.extend(self.set.iter().cloned());
+        next.replicas.sort();
+        for (target, total) in &self.loads {
+            match next.loads.binary_search_by(|other| other.0.cmp(target)) {
+                Ok(at) => next.loads[at].1 = *total,
+                Err(at) => next.loads.insert(at, (target.clone(), *total)),
+            }
+        }
+        next.version = self.version;
+        next
+    }
+}
+
+/// Returns whether a change of a target's load is worth a message: a quarter, and at least two.
+fn is_noticeable(from: u32, to: u32) -> bool {
+    from.abs_diff(to) >= (from / 4).max(2)
+}
+
+/// A roster as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterDoc {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Service revision of its last change.
+    pub revision: Revision,
+    /// The roster.
+    pub roster: Roster,
+}
+
 /// A message from one daemon to another. All may be lost, repeated, delayed or reordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerMessage {
@@ -61,6 +132,8 @@
         nonce: u64,
         /// Sender's configuration revision.
         revision: Revision,
+        /// Sum of the revisions of the rosters that the sender knows.
+        rosters: u64,
     },
     /// Answers a ping.
     Pong {
@@ -72,7 +145,11 @@
         fresh_age: Option<Duration>,
         /// Whether the sender reaches the key-value service.
         service_up: bool,
+        /// Sum of the revisions of the rosters that the sender knows.
+        rosters: u64,
     },
+    /// Rosters as they are stored.
+    Rosters(Vec<RosterDoc>),
     /// Asks for the changes from a revision on.
     NeedChanges {
         /// First revision that is missing.
@@ -113,8 +190,12 @@
     Want(ModelWant),
     /// The placer's answer to a demand that it can't meet in time.
     WantAnswer(WantAnswer),
-    /// A view of a failure domain.
+    /// A whole view of a failure domain.
     View(DomainView),
+    /// What changed in a view of a failure domain.
+    ViewDelta(ViewDelta),
+    /// Asks for the whole view of a failure domain.
+    NeedView(DomainName),
     /// Asks an issuer which of its orders will never be sent again.
     AskOrders(Vec<OrderId>),
     /// The orders that the sender will never send again.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -173,6 +173,7 @@
     service_up: bool,
     catching_up: bool,
     listed: bool,
+    watching: bool,
     retiring: bool,
     draining: bool,
     drained: bool,
@@ -213,6 +214,7 @@
             service_up: false,
             catching_up: false,
             listed: false,
+            watching: true,
             retiring: false,
             draining: false,
             drained: false,
@@ -245,6 +247,7 @@
                 let op = self.sync.propose(now, token, draft);
                 self.call(OpPurpose::ProposalLog(token), op);
             }
+            Event::Probe(revision) => self.probe(now, revision),
             Event::Retire => self.retiring = true,
             Event::Drain => self.draining = true,
         }
@@ -327,6 +330,7 @@
             self.next_ping = now + PING_INTERVAL;
             self.ping_peers(now);
             self.confirm_outage(now);
+            self.choose_watching(now);
         }
         self.write_roster(now);
         self.claim_placer(now);
--- a/crates/node/src/node/peers.rs
+++ b/crates/node/src/node/peers.rs
@@ -4,7 +4,8 @@
 use config::Change;
 
 use super::{Node, OpPurpose};
-use crate::{PeerMessage, SnapshotDoc};
+use crate::view::DeltaOutcome;
+use crate::{PeerMessage, RosterDoc, SnapshotDoc, ViewDelta};
 
 /// Answers to pings are waited for no longer than this.
 const PING_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3);
@@ -19,8 +20,12 @@
         }
         self.members.heard(now, &from);
         match message {
-            PeerMessage::Ping { nonce, revision } => self.pinged(now, &from, nonce, revision),
-            PeerMessage::Pong { nonce, revision, fresh_age, service_up } => {
+            PeerMessage::Ping { nonce, revision, rosters } => {
+                self.pinged(now, &from, nonce, revision);
+                self.compare_rosters(&from, rosters);
+            }
+            PeerMessage::Pong { nonce, revision, fresh_age, service_up, rosters } => {
+                self.compare_rosters(&from, rosters);
                 let Some(asked_at) = self.pings.remove(&nonce) else { return };
                 let peer = self.members.heard(now, &from);
                 peer.revision = Some(revision);
@@ -66,11 +71,17 @@
             PeerMessage::View(view) => {
                 let loads = view.loads.clone();
                 if self.views.take(now, view, Some(from.address)) {
-                    for (target, total) in &loads {
-                        self.loads.reported(target, *total);
-                    }
+                    self.take_loads(&loads);
+                }
+            }
+            PeerMessage::ViewDelta(delta) => self.take_delta(now, &from, delta),
+            PeerMessage::NeedView(domain) => {
+                let view = self.views.iter().find(|view| view.domain == domain).cloned();
+                if let Some(view) = view {
+                    self.send(&from.address, PeerMessage::View(view));
                 }
             }
+            PeerMessage::Rosters(docs) => self.take_rosters(docs, Some(&from)),
             PeerMessage::AskOrders(orders) => {
                 let disowned = self.placer.disown(&orders);
                 if !disowned.is_empty() {
@@ -101,34 +112,96 @@
     /// Tells the other seats of the failure domain, and one seat of each other failure domain,
     /// unless the changes came from a seat that did so already.
     fn pass_on(&mut self, changes: &[Change], from: Option<&Seat>) {
+        let turn = changes.last().map_or(0, |change| change.revision.0);
+        self.spread(turn, from, &PeerMessage::Changes(changes.to_vec()));
+    }
+
+    /// Sends news to the other seats of the failure domain and to one seat of each other one, the
+    /// `turn`th. News from another failure domain goes to the own one only; news from the own one
+    /// has reached it already.
+    pub(super) fn spread(&mut self, turn: u64, from: Option<&Seat>, message: &PeerMessage) {
         let from_near = from.is_some_and(|seat| self.members.is_near(&seat.address));
         let mut receivers = if from_near { Vec::new() } else { self.members.near() };
         if from.is_none() {
-            let turn = changes.last().map_or(0, |change| change.revision.0 as usize);
+            let turn = usize::try_from(turn).unwrap_or(0);
             receivers.extend(self.members.bridges(turn));
         }
         for seat in receivers {
-            self.send(&seat.address, PeerMessage::Changes(changes.to_vec()));
+            self.send(&seat.address, message.clone());
+        }
+    }
+
+    /// Takes rosters and passes on those that are new.
+    pub(super) fn take_rosters(&mut self, docs: Vec<RosterDoc>, from: Option<&Seat>) {
+        for doc in docs {
+            let turn = doc.revision.0;
+            if self.members.roster_seen(doc.clone()) {
+                self.spread(turn, from, &PeerMessage::Rosters(vec![doc]));
+            }
+        }
+    }
+
+    /// Sends all rosters to a peer that knows older ones.
+    fn compare_rosters(&mut self, peer: &Seat, sum: u64) {
+        if self.members.roster_sum() > sum {
+            let docs = self.members.roster_docs();
+            self.send(&peer.address, PeerMessage::Rosters(docs));
+        }
+    }
+
+    fn take_delta(&mut self, now: Time, from: &Seat, delta: ViewDelta) {
+        match self.views.take_delta(now, &delta, &from.address) {
+            DeltaOutcome::Taken => {
+                self.take_loads(&delta.loads);
+                if !self.members.is_near(&from.address) {
+                    self.spread(0, Some(from), &PeerMessage::ViewDelta(delta));
+                }
+            }
+            DeltaOutcome::Gap => self.send(&from.address, PeerMessage::NeedView(delta.domain)),
+            DeltaOutcome::Known => {}
+        }
+    }
+
+    fn take_loads(&mut self, loads: &[(base::TargetName, u32)]) {
+        for (target, total) in loads {
+            self.loads.reported(target, *total);
+        }
+    }
+
+    /// Pings every seat that is not known to have a revision.
+    pub(super) fn probe(&mut self, now: Time, revision: base::Revision) {
+        let status = self.members.status(now);
+        let behind = status.into_iter().filter(|status| status.revision < Some(revision));
+        let seats: Vec<Seat> = behind.map(|status| status.seat).collect();
+        let own = self.config.seat.clone();
+        self.ping_seats(now, seats.into_iter().filter(|seat| *seat != own));
+    }
+
+    fn ping_seats(&mut self, now: Time, seats: impl Iterator<Item = Seat>) {
+        let revision = self.sync.snapshot().revision();
+        let rosters = self.members.roster_sum();
+        for seat in seats {
+            self.last_nonce += 1;
+            self.pings.insert(self.last_nonce, now);
+            self.members.asked(now, &seat.address);
+            let ping = PeerMessage::Ping { nonce: self.last_nonce, revision, rosters };
+            self.send(&seat.address, ping);
         }
     }
 
     /// Pings all seats at once, so that they learn of a newer revision.
     pub(super) fn tell_revision(&mut self) {
         let revision = self.sync.snapshot().revision();
+        let rosters = self.members.roster_sum();
         for seat in self.members.near() {
-            self.send(&seat.address, PeerMessage::Ping { nonce: 0, revision });
+            self.send(&seat.address, PeerMessage::Ping { nonce: 0, revision, rosters });
         }
     }
 
     pub(super) fn ping_peers(&mut self, now: Time) {
         self.pings.retain(|_, asked_at| now.since(*asked_at) < PING_TIMEOUT);
-        let revision = self.sync.snapshot().revision();
-        for seat in self.members.ping_round(now) {
-            self.last_nonce += 1;
-            self.pings.insert(self.last_nonce, now);
-            let ping = PeerMessage::Ping { nonce: self.last_nonce, revision };
-            self.send(&seat.address, ping);
-        }
+        let round = self.members.ping_round(now);
+        self.ping_seats(now, round.into_iter());
     }
 
     /// Counts the configuration as the latest while no seat reaches the service: all changes
@@ -161,7 +234,8 @@
         let fresh_age = self.sync.fresh_at().map(|at| now.since(at));
         let service_up = self.service_up;
         if nonce != 0 {
-            let pong = PeerMessage::Pong { nonce, revision: own, fresh_age, service_up };
+            let rosters = self.members.roster_sum();
+            let pong = PeerMessage::Pong { nonce, revision: own, fresh_age, service_up, rosters };
             self.send(&from.address, pong);
         }
         if revision > own {
--- a/crates/node/src/node/placing.rs
+++ b/crates/node/src/node/placing.rs
@@ -12,7 +12,7 @@
 use crate::lease::{claim_txn, PlacerEntry};
 use crate::{
     copies_key, placer_key, plan_key, Action, DomainView, KeyValue, PeerMessage, StoreOp, StoreTxn,
-    TxnOutcome,
+    TxnOutcome, ViewDelta,
 };
 
 /// Shortest time between two views with changes, and longest between any two.
@@ -200,24 +200,33 @@
         let Some(fence) = self.placer.fence() else { return };
         let mut replicas = self.placer.residency(now, host);
         replicas.sort();
-        let due = match &self.view_sent {
-            None => true,
-            Some((sent, at)) => {
-                let span = now.since(*at);
-                span >= VIEW_MAX || (span >= VIEW_MIN && sent.replicas != replicas)
-            }
+        let (changed, span) = match &self.view_sent {
+            None => (true, VIEW_MAX),
+            Some((sent, at)) => (sent.replicas != replicas, now.since(*at)),
         };
-        if !due {
+        if span < VIEW_MIN || (!changed && span < VIEW_MAX) {
             return;
         }
         self.view_version += 1;
         let loads = self.placer.loads();
         let domain = self.config.domain.clone();
         let view = DomainView { domain, fence, version: self.view_version, replicas, loads };
-        self.view_sent = Some((view.clone(), now));
-        for seat in self.members.others(now) {
-            self.send(&seat.address, PeerMessage::View(view.clone()));
+        let message = match &self.view_sent {
+            Some((sent, _)) => PeerMessage::ViewDelta(ViewDelta::between(sent, &view)),
+            None => PeerMessage::View(view.clone()),
+        };
+        // The same seats pass a term's changes on, so that none sees a gap at each turn.
+        self.spread(fence.0, None, &message);
+        self.views.take(now, view.clone(), None);
+        self.view_sent = Some((view, now));
+    }
+
+    /// Watches the service while this seat is one of those that do it for its failure domain.
+    pub(super) fn choose_watching(&mut self, now: Time) {
+        let watching = self.placer.fence().is_some() || self.members.is_watcher(now);
+        if watching != self.watching {
+            self.watching = watching;
+            self.out.actions.push(Action::Watch(watching));
         }
-        self.views.take(now, view, None);
     }
 }
--- a/crates/node/src/node/storing.rs
+++ b/crates/node/src/node/storing.rs
@@ -9,8 +9,8 @@
 use crate::keys::roster_key;
 use crate::lease::PlacerEntry;
 use crate::{
-    Action, KeyEvent, KeyValue, ProposalResult, ServiceEvent, StoreOp, StoreResult, TxnOutcome,
-    LOG_PREFIX, PLACER_PREFIX, ROSTER_PREFIX,
+    Action, KeyEvent, KeyValue, ProposalResult, RosterDoc, ServiceEvent, StoreOp, StoreResult,
+    TxnOutcome, LOG_PREFIX, PLACER_PREFIX, ROSTER_PREFIX,
 };
 
 /// Pause after a roster write, so that seats that start together don't all write at once.
@@ -67,7 +67,7 @@
             self.tell_revision();
         }
         for entry in rosters {
-            self.members.roster_seen(entry);
+            self.take_roster(entry);
         }
         self.placers = Default::default();
         for entry in placers {
@@ -86,7 +86,7 @@
                 None => self.out.note(format!("unreadable change {}", entry.key)),
             },
             KeyEvent::Put(entry) if entry.key.starts_with(ROSTER_PREFIX) => {
-                self.members.roster_seen(entry);
+                self.take_roster(entry);
             }
             KeyEvent::Put(entry) if entry.key.starts_with(PLACER_PREFIX) => self.placer_seen(entry),
             KeyEvent::Deleted(key, revision) if key.starts_with(PLACER_PREFIX) => {
@@ -147,7 +147,7 @@
             (OpPurpose::RosterRead, StoreResult::Read(read)) => {
                 self.members.writing = false;
                 if let Some(Some(entry)) = read {
-                    self.members.roster_seen(&entry);
+                    self.take_roster(&entry);
                 }
             }
             (OpPurpose::Leave, _) => self.out.actions.push(Action::Drained),
@@ -216,6 +216,13 @@
         }
     }
 
+    fn take_roster(&mut self, entry: &KeyValue) {
+        let Some(name) = entry.key.strip_prefix(ROSTER_PREFIX) else { return };
+        let Ok(domain) = crate::keys::from_component(name).parse() else { return };
+        let Some(roster) = parse(entry) else { return };
+        self.take_rosters(vec![RosterDoc { domain, revision: entry.revision, roster }], None);
+    }
+
     pub(super) fn write_roster(&mut self, now: Time) {
         if !self.service_up || !self.listed || self.drained {
             return;
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -2,10 +2,21 @@
 
 use base::{Address, DomainName, ModelName, SortedMap, TargetName, Time};
 
-use crate::DomainView;
+use crate::{DomainView, ViewDelta};
 
 /// A view that is older than this does not keep another failure domain from loading.
-const VIEW_SPAN: std::time::Duration = std::time::Duration::from_secs(5);
+const VIEW_SPAN: std::time::Duration = std::time::Duration::from_secs(7);
+
+/// What became of a view's change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DeltaOutcome {
+    /// It was applied.
+    Taken,
+    /// It is older than what is known.
+    Known,
+    /// An earlier change is missing.
+    Gap,
+}
 
 /// A view with its arrival.
 #[derive(Clone, Debug)]
@@ -40,6 +51,30 @@
         true
     }
 
+    /// Takes the change of a view, or tells why it can't.
+    pub(crate) fn take_delta(
+        &mut self,
+        now: Time,
+        delta: &ViewDelta,
+        from: &Address,
+    ) -> DeltaOutcome {
+        let Some(held) = self.domains.get_mut(&delta.domain) else { return DeltaOutcome::Gap };
+        let known = (held.view.fence, held.view.version);
+        if known >= (delta.fence, delta.version) {
+            return DeltaOutcome::Known;
+        }
+        if known != (delta.fence, delta.base) {
+            return DeltaOutcome::Gap;
+        }
+        held.view = delta.apply(&held.view);
+        held.at = now;
+        held.placer = Some(from.clone());
+        if !delta.set.is_empty() || !delta.gone.is_empty() {
+            self.rebuild();
+        }
+        DeltaOutcome::Taken
+    }
+
     /// Returns the address from which a failure domain's latest view came.
     pub(crate) fn placer(&self, domain: &DomainName) -> Option<&Address> {
         self.domains.get(domain)?.placer.as_ref()
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -55,6 +55,7 @@
     last_lease: Time,
     frozen_span: Duration,
     polls: Vec<(base::TargetName, Name)>,
+    watching: bool,
 }
 
 /// Something on its way.
@@ -111,7 +112,7 @@
 }
 
 impl World {
-    /// Creates a fleet of three hosts in two failure domains, with two targets, whose random
+    /// Creates a fleet of four hosts in two failure domains, with two targets, whose random
     /// delays follow `seed`.
     pub fn new(seed: u64, fencing: bool) -> World {
         let mut targets = BTreeMap::new();
@@ -138,7 +139,7 @@
             next_change: 0,
             next_incarnation: 0,
         };
-        for domain in ["east", "east", "west"] {
+        for domain in ["east", "east", "east", "west"] {
             let at = world.hosts.len();
             world.hosts.push(Host {
                 domain,
@@ -155,6 +156,7 @@
                 last_lease: Time::ZERO,
                 frozen_span: Duration::ZERO,
                 polls: Vec::new(),
+                watching: true,
             });
             world.start(at);
         }
@@ -196,6 +198,7 @@
         host.held.clear();
         host.inbox.clear();
         host.polls.clear();
+        host.watching = true;
         self.listed_hosts.insert(at);
     }
 
@@ -304,6 +307,14 @@
         self.send_request(at, goal, 0, Duration::from_secs(5), Some(key));
     }
 
+    /// Sends calls of the plain service that may be repeated and cost tokens.
+    pub fn burst(&mut self, at: usize, count: usize, cost: u64, patience: Duration) {
+        for _ in 0..count {
+            let goal = RequestGoal::Route("booking".parse().unwrap());
+            self.send_request(at, goal, cost, patience, None);
+        }
+    }
+
     fn send_request(
         &mut self,
         at: usize,
@@ -470,6 +481,7 @@
                 let delay = self.latency() + self.slow;
                 self.push(delay, Delivery::ToTarget(at, incarnation, message));
             }
+            Action::Watch(watching) => self.hosts[at].watching = watching,
             Action::Poll(list) => self.hosts[at].polls = list,
             Action::Dispatch(order) => {
                 let delay = self.latency();
@@ -550,32 +562,15 @@
             if millis.is_multiple_of(500) {
                 self.handle(at, Event::Service(ServiceEvent::Down));
             }
-        } else {
-            if !self.hosts[at].listed {
-                self.hosts[at].listed = true;
-                self.hosts[at].seen = self.service.revision;
-                let event = Event::Service(self.service.list(now));
-                self.handle(at, event);
-            }
-            let events = self.service.events_after(self.hosts[at].seen);
-            self.hosts[at].seen = self.service.revision;
-            if !events.is_empty() {
-                self.handle(at, Event::Service(ServiceEvent::Watched(events)));
-            }
-            if millis.is_multiple_of(500) {
+        } else if !self.hosts[at].watching {
+            self.hosts[at].listed = false;
+            if millis.is_multiple_of(5_000) {
                 let head = self.service.head();
-                self.handle(at, Event::Service(ServiceEvent::HeadRead { asked_at: now, head }));
-            }
-            if now.since(self.hosts[at].last_lease) >= Duration::from_secs(1) {
-                self.hosts[at].last_lease = now;
-                let incarnation = self.hosts[at].incarnation;
-                let (lease, kept) = self.service.keep_lease(at, incarnation, now + LEASE);
-                if !kept {
-                    self.handle(at, Event::Service(ServiceEvent::LeaseLost));
-                }
-                let event = ServiceEvent::LeaseKept { lease, until: now + LEASE };
+                let event = ServiceEvent::HeadRead { asked_at: now, head };
                 self.handle(at, Event::Service(event));
             }
+        } else {
+            self.serve_watcher(at, millis);
         }
         if millis.is_multiple_of(500) {
             let hosts = self.host_list();
@@ -590,6 +585,35 @@
         }
     }
 
+    fn serve_watcher(&mut self, at: usize, millis: u64) {
+        let now = self.now;
+        if !self.hosts[at].listed {
+            self.hosts[at].listed = true;
+            self.hosts[at].seen = self.service.revision;
+            let event = Event::Service(self.service.list(now));
+            self.handle(at, event);
+        }
+        let events = self.service.events_after(self.hosts[at].seen);
+        self.hosts[at].seen = self.service.revision;
+        if !events.is_empty() {
+            self.handle(at, Event::Service(ServiceEvent::Watched(events)));
+        }
+        if millis.is_multiple_of(500) {
+            let head = self.service.head();
+            self.handle(at, Event::Service(ServiceEvent::HeadRead { asked_at: now, head }));
+        }
+        if now.since(self.hosts[at].last_lease) >= Duration::from_secs(1) {
+            self.hosts[at].last_lease = now;
+            let incarnation = self.hosts[at].incarnation;
+            let (lease, kept) = self.service.keep_lease(at, incarnation, now + LEASE);
+            if !kept {
+                self.handle(at, Event::Service(ServiceEvent::LeaseLost));
+            }
+            let event = ServiceEvent::LeaseKept { lease, until: now + LEASE };
+            self.handle(at, Event::Service(event));
+        }
+    }
+
     fn host_list(&self) -> HostsReport {
         let entry = |at: &usize| HostEntry {
             role: HostRole::Entry,
@@ -653,7 +677,8 @@
         let lost = self.random.random_range(0..100) < self.flaky;
         if target == "desk" {
             self.oracle.ran(id);
-            return if lost { RequestEnd::Lost } else { RequestEnd::Served(TokenCount(0)) };
+            let cost = TokenCount(self.oracle.cost(id));
+            return if lost { RequestEnd::Lost } else { RequestEnd::Served(cost) };
         }
         let node = self.hosts[at].node.as_ref();
         let model = node.and_then(|node| node.trace(id).map(|trace| trace.goal.clone()));
--- a/crates/node/tests/fleet/step.rs
+++ b/crates/node/tests/fleet/step.rs
@@ -5,7 +5,7 @@
 use super::World;
 
 /// Entry hosts of the fleet.
-pub const HOSTS: usize = 3;
+pub const HOSTS: usize = 4;
 
 /// One step of a run.
 #[derive(Clone, Debug)]
@@ -75,9 +75,7 @@
                 self.request(host, model, cost, Duration::from_millis(patience_ms));
             }
             Step::Burst { host, count, cost, patience_ms } => {
-                for _ in 0..count {
-                    self.request(host, 0, cost, Duration::from_millis(patience_ms));
-                }
+                self.burst(host, count, cost, Duration::from_millis(patience_ms));
             }
             Step::Book { host, key } => self.book(host, key),
             Step::Kill(host) => self.kill(host),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -27,12 +27,16 @@
     view @10 :View;
     askOrders @11 :List(UInt64);
     disowned @12 :List(UInt64);
+    rosters @13 :Data;           # a list of roster documents in JSON
+    viewDelta @14 :ViewDelta;
+    needView @15 :Text;
   }
 }
 
 struct Ping {
   nonce @0 :UInt64;
   revision @1 :UInt64;
+  rosters @2 :UInt64;
 }
 
 struct Pong {
@@ -41,6 +45,7 @@
   fresh @2 :Bool;
   freshAgeUs @3 :UInt64;
   serviceUp @4 :Bool;
+  rosters @5 :UInt64;
 }
 
 struct Borrow {
@@ -83,6 +88,16 @@
   loads @4 :List(Load);
 }
 
+struct ViewDelta {
+  domain @0 :Text;
+  fence @1 :UInt64;
+  base @2 :UInt64;
+  version @3 :UInt64;
+  set @4 :List(Residency);
+  gone @5 :List(Residency);
+  loads @6 :List(Load);
+}
+
 struct Residency {
   target @0 :Text;
   model @1 :Text;
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use base::{Fence, Incarnation, OrderId, ParseError, Revision, Seat};
+use base::{Fence, Incarnation, OrderId, ParseError, Revision, Seat, TargetName};
 use capnp::message::{Builder, HeapAllocator, ReaderOptions};
 use grant::{LoanId, LoanOffer, LoanSettlement, MicroTokens};
-use node::{DomainView, PeerMessage};
+use node::{DomainView, PeerMessage, ViewDelta};
 use place::{ModelWant, Residency, WantAnswer};
 
-use crate::peer_capnp::{message, seat, view};
+use crate::peer_capnp::{load, message, residency, seat, view, view_delta};
 
 /// Why a received message can't be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -81,13 +81,15 @@
 
 pub(crate) fn write_message(mut builder: message::Builder<'_>, message: &PeerMessage) {
     match message {
-        PeerMessage::Ping { nonce, revision } => {
+        PeerMessage::Ping { nonce, revision, rosters } => {
             let mut ping = builder.init_ping();
+            ping.set_rosters(*rosters);
             ping.set_nonce(*nonce);
             ping.set_revision(revision.0);
         }
-        PeerMessage::Pong { nonce, revision, fresh_age, service_up } => {
+        PeerMessage::Pong { nonce, revision, fresh_age, service_up, rosters } => {
             let mut pong = builder.init_pong();
+            pong.set_rosters(*rosters);
             pong.set_nonce(*nonce);
             pong.set_revision(revision.0);
             pong.set_fresh(fresh_age.is_some());
@@ -137,6 +139,11 @@
             builder.set_retry_after_us(to_micros(answer.retry_after));
         }
         PeerMessage::View(view) => write_view(builder.init_view(), view),
+        PeerMessage::ViewDelta(delta) => write_delta(builder.init_view_delta(), delta),
+        PeerMessage::NeedView(domain) => builder.set_need_view(domain.as_str()),
+        PeerMessage::Rosters(docs) => {
+            builder.set_rosters(&serde_json::to_vec(docs).unwrap_or_default());
+        }
         PeerMessage::AskOrders(orders) => {
             let mut list = builder.init_ask_orders(to_length(orders.len()));
             for (at, order) in (0..).zip(orders) {
@@ -157,7 +164,7 @@
         message::Ping(ping) => {
             let ping = ping?;
             let revision = Revision(ping.get_revision());
-            PeerMessage::Ping { nonce: ping.get_nonce(), revision }
+            PeerMessage::Ping { nonce: ping.get_nonce(), revision, rosters: ping.get_rosters() }
         }
         message::Pong(pong) => {
             let pong = pong?;
@@ -167,6 +174,7 @@
                 revision: Revision(pong.get_revision()),
                 fresh_age: pong.get_fresh().then_some(age),
                 service_up: pong.get_service_up(),
+                rosters: pong.get_rosters(),
             }
         }
         message::NeedChanges(from) => PeerMessage::NeedChanges { from: Revision(from) },
@@ -219,6 +227,9 @@
             })
         }
         message::View(view) => PeerMessage::View(read_view(view?)?),
+        message::ViewDelta(delta) => PeerMessage::ViewDelta(read_delta(delta?)?),
+        message::NeedView(domain) => PeerMessage::NeedView(domain?.to_str()?.parse()?),
+        message::Rosters(data) => PeerMessage::Rosters(serde_json::from_slice(data?)?),
         message::AskOrders(list) => PeerMessage::AskOrders(list?.iter().map(OrderId).collect()),
         message::Disowned(list) => PeerMessage::Disowned(list?.iter().map(OrderId).collect()),
     })
@@ -228,40 +239,87 @@
     builder.set_domain(view.domain.as_str());
     builder.set_fence(view.fence.0);
     builder.set_version(view.version);
-    let mut replicas = builder.reborrow().init_replicas(to_length(view.replicas.len()));
-    for (at, replica) in (0..).zip(&view.replicas) {
-        let mut entry = replicas.reborrow().get(at);
+    let replicas = builder.reborrow().init_replicas(to_length(view.replicas.len()));
+    write_replicas(replicas, &view.replicas);
+    write_loads(builder.init_loads(to_length(view.loads.len())), &view.loads);
+}
+
+fn read_view(reader: view::Reader<'_>) -> Result<DomainView, WireError> {
+    Ok(DomainView {
+        domain: reader.get_domain()?.to_str()?.parse()?,
+        fence: Fence(reader.get_fence()),
+        version: reader.get_version(),
+        replicas: read_replicas(reader.get_replicas()?)?,
+        loads: read_loads(reader.get_loads()?)?,
+    })
+}
+
+fn write_delta(mut builder: view_delta::Builder<'_>, delta: &ViewDelta) {
+    builder.set_domain(delta.domain.as_str());
+    builder.set_fence(delta.fence.0);
+    builder.set_base(delta.base);
+    builder.set_version(delta.version);
+    let set = builder.reborrow().init_set(to_length(delta.set.len()));
+    write_replicas(set, &delta.set);
+    let gone = builder.reborrow().init_gone(to_length(delta.gone.len()));
+    write_replicas(gone, &delta.gone);
+    write_loads(builder.init_loads(to_length(delta.loads.len())), &delta.loads);
+}
+
+fn read_delta(reader: view_delta::Reader<'_>) -> Result<ViewDelta, WireError> {
+    Ok(ViewDelta {
+        domain: reader.get_domain()?.to_str()?.parse()?,
+        fence: Fence(reader.get_fence()),
+        base: reader.get_base(),
+        version: reader.get_version(),
+        set: read_replicas(reader.get_set()?)?,
+        gone: read_replicas(reader.get_gone()?)?,
+        loads: read_loads(reader.get_loads()?)?,
+    })
+}
+
+fn write_replicas(
+    mut list: capnp::struct_list::Builder<'_, residency::Owned>,
+    replicas: &[Residency],
+) {
+    for (at, replica) in (0..).zip(replicas) {
+        let mut entry = list.reborrow().get(at);
         entry.set_target(replica.target.as_str());
         entry.set_model(replica.model.as_str());
         entry.set_ready(replica.ready);
     }
-    let mut loads = builder.init_loads(to_length(view.loads.len()));
-    for (at, (target, total)) in (0..).zip(&view.loads) {
-        let mut entry = loads.reborrow().get(at);
-        entry.set_target(target.as_str());
-        entry.set_total(*total);
-    }
 }
 
-fn read_view(reader: view::Reader<'_>) -> Result<DomainView, WireError> {
-    let replicas = reader.get_replicas()?.iter().map(|entry| {
+fn read_replicas(
+    list: capnp::struct_list::Reader<'_, residency::Owned>,
+) -> Result<Vec<Residency>, WireError> {
+    let replicas = list.iter().map(|entry| {
         Ok(Residency {
             target: entry.get_target()?.to_str()?.parse()?,
             model: entry.get_model()?.to_str()?.parse()?,
             ready: entry.get_ready(),
         })
     });
-    let loads = reader
-        .get_loads()?
-        .iter()
-        .map(|entry| Ok((entry.get_target()?.to_str()?.parse()?, entry.get_total())));
-    Ok(DomainView {
-        domain: reader.get_domain()?.to_str()?.parse()?,
-        fence: Fence(reader.get_fence()),
-        version: reader.get_version(),
-        replicas: replicas.collect::<Result<_, WireError>>()?,
-        loads: loads.collect::<Result<_, WireError>>()?,
-    })
+    replicas.collect()
+}
+
+fn write_loads(
+    mut list: capnp::struct_list::Builder<'_, load::Owned>,
+    loads: &[(TargetName, u32)],
+) {
+    for (at, (target, total)) in (0..).zip(loads) {
+        let mut entry = list.reborrow().get(at);
+        entry.set_target(target.as_str());
+        entry.set_total(*total);
+    }
+}
+
+fn read_loads(
+    list: capnp::struct_list::Reader<'_, load::Owned>,
+) -> Result<Vec<(TargetName, u32)>, WireError> {
+    let loads =
+        list.iter().map(|entry| Ok((entry.get_target()?.to_str()?.parse()?, entry.get_total())));
+    loads.collect()
 }
 
 fn to_micros(span: Duration) -> u64 {
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -757,7 +757,7 @@
 }
 
 pub mod message {
-    pub use self::Which::{Ping,Pong,NeedChanges,Changes,Snapshot,Borrow,Lend,Settle,Want,WantAnswer,View,AskOrders,Disowned};
+    pub use self::Which::{Ping,Pong,NeedChanges,Changes,Snapshot,Borrow,Lend,Settle,Want,WantAnswer,View,AskOrders,Disowned,Rosters,ViewDelta,NeedView};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -880,6 +880,21 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_rosters(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 13 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_view_delta(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 14 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_need_view(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 15 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -947,6 +962,21 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                13 => {
+                    ::core::result::Result::Ok(Rosters(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                14 => {
+                    ::core::result::Result::Ok(ViewDelta(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                15 => {
+                    ::core::result::Result::Ok(NeedView(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1190,6 +1220,51 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_rosters(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.set_data_field::<u16>(0, 13);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_rosters(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 13);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_rosters(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 13 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_view_delta(&mut self, value: crate::peer_capnp::view_delta::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 14);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_view_delta(self, ) -> crate::peer_capnp::view_delta::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 14);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_view_delta(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 14 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_need_view(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_need_view(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 15);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_need_view(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 15 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -1257,6 +1332,21 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                13 => {
+                    ::core::result::Result::Ok(Rosters(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                14 => {
+                    ::core::result::Result::Ok(ViewDelta(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                15 => {
+                    ::core::result::Result::Ok(NeedView(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1271,115 +1361,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 229] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 276] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(15, 0, 178, 84, 246, 161, 106, 153),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(6, 72, 233, 179, 197, 167, 241, 210),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 16, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 115, 115, 97),
             ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 240, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 105, 110, 103, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(65, 223, 195, 97, 43, 218, 227, 195),
@@ -1501,6 +1612,32 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 115, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 105, 101, 119, 68, 101, 108, 116),
+            ::capnp::word(97, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 222, 50, 130, 0, 175, 174, 209),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 86, 105, 101, 119),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1517,6 +1654,9 @@
                 10 => <crate::peer_capnp::view::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <crate::peer_capnp::view_delta::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1531,11 +1671,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[11,5,3,12,6,2,0,1,7,4,10,8,9];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[11,5,3,12,6,2,15,0,1,13,7,4,10,14,8,9];
         pub(crate) const TYPE_ID: u64 = 0x996a_a1f6_54b2_000f;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14> {
         Ping(A0),
         Pong(A1),
         NeedChanges(u64),
@@ -1549,9 +1689,12 @@
         View(A9),
         AskOrders(A10),
         Disowned(A11),
+        Rosters(A12),
+        ViewDelta(A13),
+        NeedView(A14),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::ping::Reader<'a>>,::capnp::Result<crate::peer_capnp::pong::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::peer_capnp::borrow::Reader<'a>>,::capnp::Result<crate::peer_capnp::lend::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle::Reader<'a>>,::capnp::Result<crate::peer_capnp::want::Reader<'a>>,::capnp::Result<crate::peer_capnp::want_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::view::Reader<'a>>,::capnp::Result<::capnp::primitive_list::Reader<'a,u64>>,::capnp::Result<::capnp::primitive_list::Reader<'a,u64>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::ping::Builder<'a>>,::capnp::Result<crate::peer_capnp::pong::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::peer_capnp::borrow::Builder<'a>>,::capnp::Result<crate::peer_capnp::lend::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle::Builder<'a>>,::capnp::Result<crate::peer_capnp::want::Builder<'a>>,::capnp::Result<crate::peer_capnp::want_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::view::Builder<'a>>,::capnp::Result<::capnp::primitive_list::Builder<'a,u64>>,::capnp::Result<::capnp::primitive_list::Builder<'a,u64>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::ping::Reader<'a>>,::capnp::Result<crate::peer_capnp::pong::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::peer_capnp::borrow::Reader<'a>>,::capnp::Result<crate::peer_capnp::lend::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle::Reader<'a>>,::capnp::Result<crate::peer_capnp::want::Reader<'a>>,::capnp::Result<crate::peer_capnp::want_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::view::Reader<'a>>,::capnp::Result<::capnp::primitive_list::Reader<'a,u64>>,::capnp::Result<::capnp::primitive_list::Reader<'a,u64>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::peer_capnp::view_delta::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::ping::Builder<'a>>,::capnp::Result<crate::peer_capnp::pong::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::peer_capnp::borrow::Builder<'a>>,::capnp::Result<crate::peer_capnp::lend::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle::Builder<'a>>,::capnp::Result<crate::peer_capnp::want::Builder<'a>>,::capnp::Result<crate::peer_capnp::want_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::view::Builder<'a>>,::capnp::Result<::capnp::primitive_list::Builder<'a,u64>>,::capnp::Result<::capnp::primitive_list::Builder<'a,u64>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::peer_capnp::view_delta::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
 }
 
 pub mod ping {
@@ -1623,11 +1766,15 @@
         pub fn get_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_rosters(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1693,6 +1840,14 @@
         pub fn set_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_rosters(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_rosters(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1704,37 +1859,44 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(65, 223, 195, 97, 43, 218, 227, 195),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(6, 72, 233, 179, 197, 167, 241, 210),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 105, 110, 103, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1752,11 +1914,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1770,9 +1941,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
         pub(crate) const TYPE_ID: u64 = 0xc3e3_da2b_61c3_df41;
     }
 }
@@ -1858,11 +2029,15 @@
         pub fn get_service_up(self) -> bool {
             self.reader.get_bool_field(129)
         }
+        #[inline]
+        pub fn get_rosters(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1952,6 +2127,14 @@
         pub fn set_service_up(&mut self, value: bool)  {
             self.builder.set_bool_field(129, value);
         }
+        #[inline]
+        pub fn get_rosters(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_rosters(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1963,58 +2146,65 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(61, 84, 195, 109, 214, 235, 135, 199),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(6, 72, 233, 179, 197, 167, 241, 210),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 111, 110, 103, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2058,6 +2248,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2066,6 +2264,7 @@
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2079,9 +2278,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,5,4];
         pub(crate) const TYPE_ID: u64 = 0xc787_ebd6_6dc3_543d;
     }
 }
@@ -3809,6 +4008,429 @@
     }
 }
 
+pub mod view_delta {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_fence(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_set(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::residency::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_set(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_gone(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::residency::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_gone(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_domain(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_fence(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_fence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_set(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::residency::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_set(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::residency::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_set(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::residency::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_set(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_gone(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::residency::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_gone(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::residency::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_gone(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::residency::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_gone(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(73, 222, 50, 130, 0, 175, 174, 209),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(6, 72, 233, 179, 197, 167, 241, 210),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 86, 105, 101, 119, 68),
+            ::capnp::word(101, 108, 116, 97, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 101, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 167, 172, 168, 221, 148, 50, 245),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 167, 172, 168, 221, 148, 50, 245),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(147, 236, 178, 111, 135, 91, 248, 180),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::residency::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::residency::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,5,6,4,3];
+        pub(crate) const TYPE_ID: u64 = 0xd1ae_af00_8232_de49;
+    }
+}
+
 pub mod residency {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/peer/tests/wire_forms.rs
+++ b/crates/peer/tests/wire_forms.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use base::{Fence, Incarnation, OrderId, Revision};
-use grant::{LoanId, LoanOffer, LoanSettlement, MicroTokens};
+use grant::{LoanId, LoanOffer, LoanSettlement, MicroTokens, Roster, Units};
 use mango_peer::{decode, encode};
-use node::{DomainView, PeerMessage, SnapshotDoc};
+use node::{DomainView, PeerMessage, RosterDoc, SnapshotDoc, ViewDelta};
 use place::{ModelWant, Residency, WantAnswer};
 use proptest::prelude::*;
 
@@ -19,14 +19,21 @@
     let settlement = LoanSettlement { id: LoanId(3), returned: MicroTokens(1) };
     let lender = Incarnation(u64::MAX);
     vec![
-        PeerMessage::Ping { nonce: u64::MAX, revision: Revision(1) },
+        PeerMessage::Ping { nonce: u64::MAX, revision: Revision(1), rosters: 3 },
         PeerMessage::Pong {
             nonce: 1,
             revision: Revision(2),
             fresh_age: Some(span),
             service_up: true,
+            rosters: 1,
+        },
+        PeerMessage::Pong {
+            nonce: 1,
+            revision: Revision(2),
+            fresh_age: None,
+            service_up: false,
+            rosters: 0,
         },
-        PeerMessage::Pong { nonce: 1, revision: Revision(2), fresh_age: None, service_up: false },
         PeerMessage::NeedChanges { from: Revision(4) },
         PeerMessage::Changes(vec![serde_json::from_str(change).unwrap(); 2]),
         PeerMessage::Snapshot(SnapshotDoc {
@@ -52,6 +59,21 @@
             replicas: vec![Residency { target: target.clone(), model, ready: true }],
             loads: vec![(target, 4)],
         }),
+        PeerMessage::ViewDelta(ViewDelta {
+            domain: "east".parse().unwrap(),
+            fence: Fence(8),
+            base: 9,
+            version: 10,
+            set: Vec::new(),
+            gone: Vec::new(),
+            loads: Vec::new(),
+        }),
+        PeerMessage::NeedView("east".parse().unwrap()),
+        PeerMessage::Rosters(vec![RosterDoc {
+            domain: "east".parse().unwrap(),
+            revision: Revision(4),
+            roster: Roster::new(Units(7)),
+        }]),
         PeerMessage::AskOrders(vec![OrderId(1), OrderId(2)]),
         PeerMessage::Disowned(Vec::new()),
     ]
@@ -71,7 +93,7 @@
     }
 
     #[test]
-    fn mangled_bytes(at in 0usize..15, position in any::<prop::sample::Index>(), byte in any::<u8>()) {
+    fn mangled_bytes(at in 0usize..18, position in any::<prop::sample::Index>(), byte in any::<u8>()) {
         let mut bytes = encode(&examples()[at]);
         let position = position.index(bytes.len());
         bytes[position] = byte;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -162,6 +162,13 @@
     pub ready: bool,
 }
 
+impl Residency {
+    /// Returns whether both are about the same model on the same target.
+    pub fn is_same_place(&self, other: &Residency) -> bool {
+        (&self.target, &self.model) == (&other.target, &other.model)
+    }
+}
+
 /// A report with the moments that bound it.
 #[derive(Clone, Debug)]
 struct HeardReport {
--- a/crates/store/src/task.rs
+++ b/crates/store/src/task.rs
@@ -11,7 +11,7 @@
     PLACER_PREFIX, ROSTER_PREFIX,
 };
 use rand::Rng;
-use tokio::sync::{mpsc, Notify, Semaphore};
+use tokio::sync::{mpsc, watch, Semaphore};
 
 use crate::client::KvClient;
 use crate::wire::{WatchResponse, Wrapped};
@@ -20,6 +20,8 @@
 const CALLS_AT_ONCE: usize = 16;
 /// Largest line of a watch.
 const MAX_LINE_BYTES: usize = 4 << 20;
+/// How many times more seldom a daemon reads the head that leaves watching to others.
+const IDLE_FACTOR: u32 = 10;
 /// Shortest and longest pause before listing again, in milliseconds.
 const RELIST_PAUSE_MS: (u64, u64) = (100, 1_500);
 
@@ -37,10 +39,9 @@
 /// The connection of one node to the key-value service.
 pub struct StoreTask {
     client: KvClient,
-    config: StoreConfig,
     events: mpsc::UnboundedSender<ServiceEvent>,
     calls: Arc<Semaphore>,
-    relist: Arc<Notify>,
+    watching: watch::Sender<bool>,
 }
 
 impl StoreTask {
@@ -50,12 +51,12 @@
         config: StoreConfig,
         events: mpsc::UnboundedSender<ServiceEvent>,
     ) -> StoreTask {
-        let relist = Arc::new(Notify::new());
-        tokio::spawn(keep_lease(client.clone(), config.clone(), events.clone()));
-        tokio::spawn(read_head(client.clone(), config.clone(), events.clone()));
-        tokio::spawn(watch(client.clone(), config.clone(), events.clone(), relist.clone()));
+        let (watching, watched) = watch::channel(true);
+        tokio::spawn(keep_lease(client.clone(), config.clone(), events.clone(), watched.clone()));
+        tokio::spawn(read_head(client.clone(), config.clone(), events.clone(), watched.clone()));
+        tokio::spawn(keep_watch(client.clone(), config, events.clone(), watched));
         let calls = Arc::new(Semaphore::new(CALLS_AT_ONCE));
-        StoreTask { client, config, events, calls, relist }
+        StoreTask { client, events, calls, watching }
     }
 
     /// Runs a call; its answer arrives as an event.
@@ -69,14 +70,10 @@
         });
     }
 
-    /// Lists and watches anew.
-    pub fn relist(&self) {
-        self.relist.notify_one();
-    }
-
-    /// Returns the settings.
-    pub fn config(&self) -> &StoreConfig {
-        &self.config
+    /// Watches and keeps a lease from now on, or leaves that to other daemons and only reads the
+    /// head now and then.
+    pub fn set_watching(&self, watching: bool) {
+        self.watching.send_replace(watching);
     }
 }
 
@@ -95,9 +92,13 @@
     client: KvClient,
     config: StoreConfig,
     events: mpsc::UnboundedSender<ServiceEvent>,
+    mut watching: watch::Receiver<bool>,
 ) {
     let mut lease: Option<LeaseId> = None;
     while !events.is_closed() {
+        if watching.wait_for(|watching| *watching).await.is_err() {
+            return;
+        }
         let asked_at = (config.clock)();
         let kept = match lease {
             Some(id) => client.keep_lease(id).await.map(|span| (id, span)),
@@ -126,6 +127,7 @@
     client: KvClient,
     config: StoreConfig,
     events: mpsc::UnboundedSender<ServiceEvent>,
+    mut watching: watch::Receiver<bool>,
 ) {
     while !events.is_closed() {
         let asked_at = (config.clock)();
@@ -134,21 +136,26 @@
             Err(_) => ServiceEvent::Down,
         };
         let _ = events.send(event);
-        tokio::time::sleep(config.head_interval).await;
+        let watched = *watching.borrow_and_update();
+        let pause = if watched { config.head_interval } else { config.head_interval * IDLE_FACTOR };
+        let _ = tokio::time::timeout(pause, watching.changed()).await;
     }
 }
 
-async fn watch(
+async fn keep_watch(
     client: KvClient,
     config: StoreConfig,
     events: mpsc::UnboundedSender<ServiceEvent>,
-    relist: Arc<Notify>,
+    mut watching: watch::Receiver<bool>,
 ) {
     while !events.is_closed() {
+        if watching.wait_for(|watching| *watching).await.is_err() {
+            return;
+        }
         if let Some(start) = list(&client, &config, &events).await {
             tokio::select! {
                 () = follow(&client, start, &events) => {}
-                () = relist.notified() => {}
+                _ = watching.wait_for(|watching| !*watching) => {}
             }
         }
         // All daemons lose their watches at once when the service restarts.
