--- a/crates/grant/src/bucket.rs
+++ b/crates/grant/src/bucket.rs
@@ -192,6 +192,11 @@
         self.clamp();
     }
 
+    /// Returns whether loans of peers are to be settled yet.
+    pub fn has_borrowed(&self) -> bool {
+        !self.borrowed.is_empty()
+    }
+
     /// Returns whether nothing is lent, borrowed or charged.
     pub fn is_idle(&self) -> bool {
         self.lent.is_empty() && self.borrowed.is_empty() && self.open.is_empty()
--- /dev/null
+++ b/crates/mangodeal/src/capacity/wire.rs
@@ -0,0 +1,52 @@
+//! Bytes of peer messages on the wire, with all that the RPC adds.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Revision;
+use node::PeerMessage;
+use peer::PeerTransport;
+use standin::FaultProxy;
+
+use super::measure::Row;
+use super::model;
+
+/// Messages that are sent for each point.
+const MESSAGES: usize = 400;
+
+/// Returns the bytes of a message, both ways, by the size of its payload.
+pub(super) fn message_bytes() -> Vec<Row> {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let ping = PeerMessage::Ping { nonce: 1, revision: Revision(1), rosters: 1 };
+        let replicas = (0..40).map(model::residency).collect();
+        let view = PeerMessage::View(model::view(0, 1, replicas));
+        vec![measure(ping).await, measure(view).await]
+    })
+}
+
+async fn measure(message: PeerMessage) -> Row {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let to = listener.local_addr().expect("an address");
+    let received = Arc::new(AtomicUsize::new(0));
+    let counter = received.clone();
+    let count = move |_, _| {
+        counter.fetch_add(1, Ordering::SeqCst);
+    };
+    let _receiver = PeerTransport::start(model::seat(0, 0), listener, Box::new(count));
+    let proxy = FaultProxy::start(to).await.expect("a free port");
+    let own = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let sender = PeerTransport::start(model::seat(0, 1), own, Box::new(|_, _| {}));
+    let sender = sender.expect("a transport");
+    let address: base::Address = proxy.address().to_string().parse().expect("an address");
+    for _ in 0..MESSAGES {
+        sender.send(address.clone(), message.clone());
+        tokio::time::sleep(Duration::from_micros(200)).await;
+    }
+    while received.load(Ordering::SeqCst) < MESSAGES {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    Row::new(peer::encode(&message).len(), proxy.bytes() as f64 / MESSAGES as f64)
+}
--- a/crates/mangodeal/src/command.rs
+++ b/crates/mangodeal/src/command.rs
@@ -227,8 +227,8 @@
         match self.command {
             Command::Demo => crate::demo::run().await.map_err(|error| failed(&error)),
             Command::Capacity => {
-                crate::capacity::run();
-                Ok(())
+                let measured = tokio::task::spawn_blocking(crate::capacity::run).await;
+                measured.map_err(|error| failed(&error))
             }
             Command::Hash => {
                 let mut line = String::new();
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -9,14 +9,13 @@
 use crate::keys::roster_key;
 use crate::{HostEntry, HostRole, HostsReport, RosterDoc, SeatStatus, StoreTxn};
 
-/// Seats of the own failure domain, and of all others, that are pinged in a round in turn; a
-/// round takes a second. Their number does not depend on the fleet's size.
-const NEAR_PINGS: usize = 2;
-const FAR_PINGS: usize = 1;
+/// Seats that are pinged in a round in turn, besides the watchers; a round takes a second. Their
+/// number does not depend on the fleet's size.
+const TURN_PINGS: usize = 1;
 /// Seats of a failure domain that watch the service and tell the others.
 const WATCHERS: usize = 2;
 /// How long a sign of life counts.
-const SILENT_SPAN: Duration = Duration::from_secs(3);
+const SILENT_SPAN: Duration = Duration::from_secs(6);
 /// A peer that left a ping unanswered for this long is passed over where another can do.
 const ANSWER_SPAN: Duration = Duration::from_millis(1_500);
 
@@ -52,8 +51,7 @@
     total: Units,
     rosters: SortedMap<DomainName, (Revision, Roster)>,
     peers: SortedMap<Address, PeerState>,
-    next_near: usize,
-    next_far: usize,
+    next_ping: usize,
     giving: Option<Giving>,
     pub(crate) writing: bool,
     pub(crate) next_write: Time,
@@ -71,8 +69,7 @@
             total,
             rosters: SortedMap::default(),
             peers: SortedMap::default(),
-            next_near: 0,
-            next_far: 0,
+            next_ping: 0,
             giving: None,
             writing: false,
             next_write: Time::ZERO,
@@ -216,12 +213,10 @@
     /// Returns the seats to ping in this round: those that watch the service for this one, and
     /// some others in turn.
     pub(crate) fn ping_round(&mut self, now: Time) -> Vec<Seat> {
-        let near = self.near();
-        let all = self.others(now);
-        let far = &all[near.len().min(all.len())..];
-        let mut round: Vec<Seat> = near.iter().take(WATCHERS).cloned().collect();
-        round.extend(in_turn(&near, &mut self.next_near, NEAR_PINGS));
-        round.extend(in_turn(far, &mut self.next_far, FAR_PINGS));
+        let mut round: Vec<Seat> = self.near().into_iter().take(WATCHERS).collect();
+        let others = self.others(now);
+        let others: Vec<Seat> = others.into_iter().filter(|seat| !round.contains(seat)).collect();
+        round.extend(in_turn(&others, &mut self.next_ping, TURN_PINGS));
         round.sort();
         round.dedup();
         round
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,9 @@
     TargetStatus,
 };
 
+/// Longest time between two decisions of the placer. Reports don't cause one each: there are
+/// hundreds a second in a large failure domain.
+const PLACE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two rounds of pings.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -180,6 +183,9 @@
     next_ping: Time,
     pings: SortedMap<u64, Time>,
     last_nonce: u64,
+    /// Whether something happened on which the placer should act at once.
+    place_soon: bool,
+    next_place: Time,
     view_version: u64,
     view_sent: Option<(DomainView, Time)>,
     polled: Vec<(base::TargetName, base::Name)>,
@@ -221,6 +227,8 @@
             next_ping: now,
             pings: SortedMap::default(),
             last_nonce: seed,
+            place_soon: false,
+            next_place: now,
             view_version: 0,
             view_sent: None,
             polled: Vec::new(),
@@ -242,7 +250,10 @@
                 self.loads.reported(&target, report.running + report.waiting);
                 self.placer.report(now, &target, asked_at, report);
             }
-            Event::OrderEnded(target, id, outcome) => self.placer.sent(now, &target, id, outcome),
+            Event::OrderEnded(target, id, outcome) => {
+                self.place_soon = true;
+                self.placer.sent(now, &target, id, outcome);
+            }
             Event::Propose(token, draft) => {
                 let op = self.sync.propose(now, token, draft);
                 self.call(OpPurpose::ProposalLog(token), op);
@@ -251,7 +262,11 @@
             Event::Retire => self.retiring = true,
             Event::Drain => self.draining = true,
         }
-        self.place(now);
+        if self.place_soon || now >= self.next_place {
+            self.place_soon = false;
+            self.next_place = now + PLACE_INTERVAL;
+            self.place(now);
+        }
         self.pump(now);
         self.finish_drain();
         std::mem::take(&mut self.out.actions)
--- a/crates/node/src/node/peers.rs
+++ b/crates/node/src/node/peers.rs
@@ -66,7 +66,10 @@
                     self.tokens.settled(now, &from, &team, settlement);
                 }
             }
-            PeerMessage::Want(want) => self.placer.want(now, &want),
+            PeerMessage::Want(want) => {
+                self.place_soon = true;
+                self.placer.want(now, &want);
+            }
             PeerMessage::WantAnswer(answer) => self.want_answered(now, &answer),
             PeerMessage::View(view) => {
                 let loads = view.loads.clone();
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -575,6 +575,7 @@
             // A daemon that started during an outage knows placers by their views only.
             let Some(address) = recorded.or(self.views.placer(&domain)).cloned() else { continue };
             if address == self.config.seat.address {
+                self.next_place = now;
                 self.placer.want(now, want);
             } else {
                 self.send(&address, PeerMessage::Want(want.clone()));
--- a/crates/node/src/node/storing.rs
+++ b/crates/node/src/node/storing.rs
@@ -123,6 +123,7 @@
 
     fn answered(&mut self, now: Time, id: crate::OpId, result: StoreResult) {
         let Some(purpose) = self.out.pending.remove(&id) else { return };
+        self.place_soon = true;
         match (purpose, result) {
             (OpPurpose::CatchUp, StoreResult::Range(read)) => {
                 self.catching_up = false;
--- a/crates/node/src/token.rs
+++ b/crates/node/src/token.rs
@@ -67,6 +67,8 @@
     terms: LoanTerms,
     units: Units,
     teams: SortedMap<TeamName, TeamEntry>,
+    /// Teams with waiting requests or borrowed tokens; only these need attention over time.
+    active: Vec<TeamName>,
     next_draw: u64,
 }
 
@@ -74,7 +76,8 @@
     /// Creates allowances without shares. Question numbers start at `first_draw`, which must
     /// differ between incarnations.
     pub(crate) fn new(terms: LoanTerms, first_draw: u64) -> Tokens {
-        Tokens { terms, units: Units::ZERO, teams: SortedMap::default(), next_draw: first_draw }
+        let teams = SortedMap::default();
+        Tokens { terms, units: Units::ZERO, teams, active: Vec::new(), next_draw: first_draw }
     }
 
     pub(crate) fn terms(&self) -> LoanTerms {
@@ -117,6 +120,7 @@
             return true;
         }
         entry.waiting.push(wait);
+        self.activate(team);
         false
     }
 
@@ -175,6 +179,7 @@
             round.remaining.push(open.peer);
         }
         entry.bucket.borrow(now, open.asked_at, lender.clone(), offer);
+        self.activate(team);
     }
 
     /// Takes the end of a loan.
@@ -199,7 +204,8 @@
         messages: &mut Vec<(Address, PeerMessage)>,
     ) -> Vec<TokenVerdict> {
         let mut verdicts = Vec::new();
-        for (name, entry) in self.teams.iter_mut() {
+        for name in std::mem::take(&mut self.active) {
+            let Some(entry) = self.teams.get_mut(&name) else { continue };
             for (lender, settlement) in entry.bucket.settle(now) {
                 let (team, address) = (name.clone(), lender.address);
                 let lender = lender.incarnation;
@@ -207,11 +213,20 @@
             }
             entry.charge_waiting(now, &mut verdicts);
             if !entry.waiting.is_empty() {
-                entry.draw(now, name, peers, &mut self.next_draw, messages, &mut verdicts);
+                entry.draw(now, &name, peers, &mut self.next_draw, messages, &mut verdicts);
+            }
+            if !entry.waiting.is_empty() || entry.bucket.has_borrowed() {
+                self.active.push(name);
             }
         }
         verdicts
     }
+
+    fn activate(&mut self, team: &TeamName) {
+        if let Err(at) = self.active.binary_search(team) {
+            self.active.insert(at, team.clone());
+        }
+    }
 }
 
 impl TeamEntry {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -203,6 +203,8 @@
     /// When the load was last ordered, or the entry was first seen.
     loading_since: SortedMap<ModelName, Time>,
     asked_issuer_at: Option<Time>,
+    /// Whether the plan or the report changed since it was last settled.
+    dirty: bool,
 }
 
 /// A model's ledger as it was last read or written.
@@ -232,6 +234,8 @@
     /// Issuers of unresolved orders that are no longer seated, and since when that is known.
     gone: SortedMap<Seat, Time>,
     load_times: LoadTimes,
+    /// Counts the rounds in which unchanged targets are settled in turn.
+    turn: usize,
 }
 
 impl Placer {
@@ -250,6 +254,7 @@
             sends: SortedMap::default(),
             gone: SortedMap::default(),
             load_times: LoadTimes::default(),
+            turn: 0,
         }
     }
 
@@ -317,6 +322,13 @@
         for id in &report.orders {
             state.resolved.entry(*id, || asked_at);
         }
+        let same = |heard: &HeardReport| {
+            let ready = |report: &TargetReport| -> Vec<(ModelName, bool)> {
+                report.replicas.iter().map(|r| (r.model.clone(), r.ready)).collect()
+            };
+            heard.report.orders == report.orders && ready(&heard.report) == ready(&report)
+        };
+        state.dirty |= !state.heard.as_ref().is_some_and(same);
         state.heard = Some(HeardReport { report, asked_at });
     }
 
@@ -379,6 +391,7 @@
             *send = SendState::Ended(outcome);
         }
         let state = self.targets.entry(target.clone(), TargetState::default);
+        state.dirty = true;
         if outcome != OrderOutcome::Unknown {
             state.resolved.entry(id, || now);
         }
@@ -585,6 +598,7 @@
             plan.replicas.values().flat_map(|r| r.orders.iter().map(|o| o.id)).collect();
         self.resolved.retain(|id, _| orders.contains(id));
         self.plan = plan;
+        self.dirty = true;
     }
 
     fn note_use(&mut self, now: Time, report: &TargetReport) {
--- a/crates/place/src/placer/settle.rs
+++ b/crates/place/src/placer/settle.rs
@@ -9,6 +9,8 @@
 use crate::order::OrderOutcome;
 use crate::plan::{Phase, Replica, TargetPlan};
 
+/// Rounds in which each unchanged target is settled once.
+const SETTLE_TURNS: usize = 8;
 /// How often an issuer is asked about its unresolved orders.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -20,8 +22,14 @@
         host: &HostState,
         actions: &mut Vec<PlaceAction>,
     ) {
-        let names: Vec<TargetName> = self.targets.keys().cloned().collect();
-        for name in names {
+        self.turn += 1;
+        let turn = self.turn;
+        // Time alone can make a change due as well: idleness, drained orders, a leaving target.
+        let due = self.targets.iter_mut().enumerate().filter_map(|(at, (name, state))| {
+            let due = (at + turn).is_multiple_of(SETTLE_TURNS);
+            (std::mem::take(&mut state.dirty) || due || state.is_unsettled()).then(|| name.clone())
+        });
+        for name in due.collect::<Vec<TargetName>>() {
             self.resolve_orders(now, &name, host, snapshot, actions);
             self.settle_target(now, &name, snapshot, host, actions);
         }
@@ -200,6 +208,12 @@
 }
 
 impl TargetState {
+    /// Returns whether a replica is on its way in or out.
+    fn is_unsettled(&self) -> bool {
+        let moving = |phase| matches!(phase, Phase::Loading | Phase::Unloading);
+        self.plan.replicas.values().any(|replica| moving(replica.phase))
+    }
+
     /// Returns whether the replica is gone for good: the target reported so after every load
     /// order for it was resolved.
     fn is_removable(&self, model: &ModelName, replica: &Replica, heard: &HeardReport) -> bool {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -16,6 +16,7 @@
     /// Bytes pass neither way, but connections stay open.
     frozen: AtomicBool,
     delay_ms: AtomicU64,
+    bytes: AtomicU64,
     reset: Notify,
 }
 
@@ -53,6 +54,11 @@
         self.address
     }
 
+    /// Returns the bytes forwarded in both directions.
+    pub fn bytes(&self) -> u64 {
+        self.faults.bytes.load(Ordering::SeqCst)
+    }
+
     /// Breaks all connections and refuses new ones, or ends that.
     pub fn set_cut(&self, cut: bool) {
         self.faults.cut.store(cut, Ordering::SeqCst);
@@ -112,6 +118,7 @@
         if count == 0 {
             break;
         }
+        faults.bytes.fetch_add(count as u64, Ordering::SeqCst);
         let delay = faults.delay_ms.load(Ordering::SeqCst);
         if delay > 0 {
             tokio::time::sleep(Duration::from_millis(delay)).await;
