Load cold models during an outage, from replicas that were decided ahead

Cause: with the service down no replica could be decided, so a cold model was refused until it came back. A placer now records up to two replicas ahead, with the number of the only order that may load each. To a successor such an entry is an order that may arrive at any time, so the rule for unresolved orders carries it and no second mechanism is needed. Ruled out: reserving where fewer copies are left than failure domains; it would take the last copy from a domain that wants it now.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -205,6 +205,7 @@
         .adapter_slots(settings.domain_slots(settings.adapter_slots))
         .unload_delay(settings.unload_delay)
         .order_drain(settings.order_drain)
+        .reserve(settings.reserve, settings.domains.len())
         .idle_policy(settings.idle);
     NodeConfig::new(seat.address.clone(), settings.domain.clone())
         .incarnation(seat.incarnation)
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -29,7 +29,15 @@
     ),
     (
         "placement",
-        &["load_slots", "adapter_slots", "report_interval", "unload_delay", "order_drain", "idle"],
+        &[
+            "load_slots",
+            "adapter_slots",
+            "report_interval",
+            "unload_delay",
+            "order_drain",
+            "idle",
+            "reserve",
+        ],
     ),
     ("allowance", &["loan"]),
     ("log", &["format", "level"]),
@@ -95,6 +103,8 @@
     pub order_drain: Duration,
     /// When idle replicas are unloaded.
     pub idle: IdlePolicy,
+    /// Replicas that each failure domain decides ahead for outages of the service.
+    pub reserve: usize,
     /// How long borrowed tokens may be used.
     pub loan: Duration,
     /// Form of log lines.
@@ -233,6 +243,9 @@
                     text => parse_span(text).map(IdlePolicy::Fixed),
                 })
                 .unwrap_or(IdlePolicy::Fitted),
+            reserve: self
+                .value("placement", "reserve", "a number from 0 on", |text| text.parse().ok())
+                .unwrap_or(2),
             loan: self.span("allowance", "loan", 2_000),
             log_format: self
                 .value("log", "format", "text or json", |text| match text {
--- a/crates/mangodeal/tests/service_outage.rs
+++ b/crates/mangodeal/tests/service_outage.rs
@@ -61,3 +61,34 @@
         .await;
     });
 }
+
+/// Plans that the service holds.
+fn plans(fleet: &Fleet) -> String {
+    fleet.service.list("/mangodeal/plan/").into_iter().map(|(_, value)| value).collect()
+}
+
+#[test]
+fn cold_start() {
+    run(async {
+        let fleet = Fleet::start(Options { targets_each: 2, ..Options::default() }).await;
+        fleet.warm(0, "lace").await;
+        eventually(Duration::from_secs(10), "replicas are reserved", || async {
+            plans(&fleet).matches("reserved").count() >= 2
+        })
+        .await;
+        fleet.service.set_down(true);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let mut served = 0;
+        for model in ["silk", "tulle"] {
+            let call = fleet.chat(0, model, 1, false).header("x-mangodeal-deadline-ms", "8000");
+            served += u32::from(call.send().await.unwrap().status == 200);
+        }
+        assert!(served > 0, "no reserved replica was loaded during the outage");
+        fleet.service.set_down(false);
+        eventually(Duration::from_secs(20), "the loads are recorded", || async {
+            plans(&fleet).matches("\"loaded\"").count() >= 2
+        })
+        .await;
+        assert!(fleet.memory_peak() <= 100);
+    });
+}
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -180,6 +180,7 @@
         let place = PlaceConfig::default()
             .load_slots(2)
             .order_drain(Duration::from_secs(20))
+            .reserve(1, DOMAINS.len())
             .idle_policy(IdlePolicy::Fixed(Duration::from_secs(4)));
         let host = &mut self.hosts[at];
         let config =
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod estimate;
+mod reserve;
 mod settle;
 
 use std::time::Duration;
@@ -33,6 +34,7 @@
     pub(crate) order_drain: Duration,
     pub(crate) idle_policy: IdlePolicy,
     pub(crate) reserve: usize,
+    pub(crate) domains: usize,
 }
 
 impl Default for PlaceConfig {
@@ -45,6 +47,7 @@
             order_drain: Duration::from_secs(120),
             idle_policy: IdlePolicy::Fitted,
             reserve: 0,
+            domains: 1,
         }
     }
 }
@@ -86,9 +89,11 @@
         self
     }
 
-    /// Sets how many replicas are decided ahead for outages of the key-value service.
-    pub fn reserve(mut self, replicas: usize) -> Self {
+    /// Sets how many replicas are decided ahead for outages of the key-value service, in a fleet
+    /// of so many failure domains.
+    pub fn reserve(mut self, replicas: usize, domains: usize) -> Self {
         self.reserve = replicas;
+        self.domains = domains;
         self
     }
 }
@@ -230,6 +235,8 @@
     copies: SortedMap<ModelName, KnownLedger>,
     reading_copies: Vec<ModelName>,
     demands: SortedMap<ModelName, Demand>,
+    /// When each model was last wanted.
+    wanted_at: SortedMap<ModelName, Time>,
     sends: SortedMap<OrderId, SendState>,
     /// Issuers of unresolved orders that are no longer seated, and since when that is known.
     gone: SortedMap<Seat, Time>,
@@ -251,6 +258,7 @@
             copies: SortedMap::default(),
             reading_copies: Vec::new(),
             demands: SortedMap::default(),
+            wanted_at: SortedMap::default(),
             sends: SortedMap::default(),
             gone: SortedMap::default(),
             load_times: LoadTimes::default(),
@@ -297,6 +305,7 @@
     /// Takes a gateway's demand.
     pub fn want(&mut self, now: Time, want: &ModelWant) {
         let deadline = now + want.time_left;
+        self.wanted_at.insert(want.model.clone(), now);
         let fresh = || Demand { seen_at: now, deadline, waiting: 0, extra: false };
         let demand = self.demands.entry(want.model.clone(), fresh);
         if now.since(demand.seen_at) > WANT_SPAN {
@@ -440,6 +449,10 @@
         if host.leased && host.service_up {
             self.settle_targets(now, snapshot, host, &mut actions);
             self.choose_loads(now, snapshot, host, fence, &mut actions);
+            self.choose_reserve(now, snapshot, host, fence, &mut actions);
+        }
+        if !host.service_up {
+            self.use_reserve(now, snapshot, &mut actions);
         }
         self.send_orders(now, snapshot, host, &mut actions);
         actions
@@ -455,7 +468,14 @@
                 continue;
             }
             for (model, replica) in state.plan.replicas.iter() {
-                let (Phase::Loading | Phase::Loaded) = replica.phase else { continue };
+                let used = match replica.phase {
+                    Phase::Loading | Phase::Loaded => true,
+                    Phase::Reserved => self.is_used(replica),
+                    Phase::Unloading => false,
+                };
+                if !used {
+                    continue;
+                }
                 let ready = heard.report.replica(model).is_some_and(|r| r.ready);
                 residency.push(Residency { target: target.clone(), model: model.clone(), ready });
             }
--- a/crates/place/src/placer/choose.rs
+++ b/crates/place/src/placer/choose.rs
@@ -131,6 +131,10 @@
         demand: &Demand,
         actions: &mut Vec<PlaceAction>,
     ) {
+        if let Some(target) = self.reserved_target(servable.name) {
+            self.promote(&target, servable.name, actions);
+            return;
+        }
         if let Some(target) = self.reorder_target(now, servable.name) {
             self.load_on(&target, fence, servable, None, actions);
             return;
@@ -170,6 +174,28 @@
         }
     }
 
+    /// Returns a target on which this seat reserved a replica of `model`.
+    fn reserved_target(&self, model: &ModelName) -> Option<TargetName> {
+        let found = self.targets.iter().find(|(_, state)| {
+            let replica = state.plan.replicas.get(model);
+            let ready = state.revision.is_some() && state.writing.is_none();
+            ready && replica.is_some_and(|replica| self.is_usable(replica))
+        });
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Turns a reserved replica into one that is loaded.
+    fn promote(&mut self, target: &TargetName, model: &ModelName, actions: &mut Vec<PlaceAction>) {
+        let Some(state) = self.targets.get(target) else { return };
+        let Some(expected) = state.revision else { return };
+        let mut plan = state.plan.clone();
+        if let Some(replica) = plan.replicas.get_mut(model) {
+            replica.phase = Phase::Loading;
+        }
+        let write = PlaceWrite { target: target.clone(), expected, plan, copies: Vec::new() };
+        self.record(write, actions);
+    }
+
     /// Returns a target whose recorded replica of `model` never appeared and may be ordered anew.
     fn reorder_target(&self, now: Time, model: &ModelName) -> Option<TargetName> {
         let found = self.targets.iter().find(|(_, state)| {
@@ -181,7 +207,7 @@
 
     /// Returns targets on which `servable` may be loaded, with their free memory and the memory
     /// that is being freed.
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         now: Time,
         snapshot: &Snapshot,
@@ -286,11 +312,11 @@
             .replicas
             .iter()
             .filter(|(model, replica)| {
-                replica.phase == Phase::Loaded
+                let idle = replica.phase == Phase::Loaded
                     && replica.is_resolved()
                     && Some(*model) != servable.base
-                    && !self.demands.contains(model)
-                    && state.is_idle(model)
+                    && state.is_idle(model);
+                (idle || self.is_usable(replica)) && !self.demands.contains(model)
             })
             .map(|(model, replica)| {
                 let idle = state.keep.get(model).map_or(Duration::ZERO, |keep| keep.idle(now));
--- a/crates/place/src/placer/settle.rs
+++ b/crates/place/src/placer/settle.rs
@@ -116,6 +116,9 @@
             let ready = heard.report.replica(model).is_some_and(|report| report.ready);
             let Some(entry) = plan.replicas.get_mut(model) else { continue };
             entry.phase = match replica.phase {
+                Phase::Reserved if ready => Phase::Loaded,
+                Phase::Reserved if self.is_used(replica) => Phase::Loading,
+                Phase::Reserved if !self.is_allowed(snapshot, name, model) => Phase::Unloading,
                 Phase::Loading if ready => Phase::Loaded,
                 Phase::Loading if snapshot.servable(model).is_none() => Phase::Unloading,
                 // The target lost it; it stays counted while an order is unresolved.
@@ -178,6 +181,12 @@
         }
     }
 
+    /// Returns whether the configuration still lets a base model run on a target.
+    fn is_allowed(&self, snapshot: &Snapshot, name: &TargetName, model: &ModelName) -> bool {
+        let target = snapshot.target(name);
+        target.is_some_and(|target| snapshot.may_place(model, target))
+    }
+
     fn should_unload(
         &self,
         now: Time,
@@ -217,7 +226,7 @@
     /// Returns whether the replica is gone for good: the target reported so after every load
     /// order for it was resolved.
     fn is_removable(&self, model: &ModelName, replica: &Replica, heard: &HeardReport) -> bool {
-        if replica.phase == Phase::Reserved || heard.report.replica(model).is_some() {
+        if heard.report.replica(model).is_some() {
             return false;
         }
         replica.orders.iter().all(|order| self.is_settled(order.id, heard))
