--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -6,7 +6,7 @@
 use base::{RequestId, Time};
 use config::Snapshot;
 use gate::{GateCommand, NodeInput, NodeLink, TargetClient};
-use node::{Action, Event, Node, ProposalResult};
+use node::{Action, Event, Node, ProposalResult, RequestEnd};
 use peer::PeerTransport;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use store::StoreTask;
@@ -32,6 +32,8 @@
     requests: HashMap<RequestId, mpsc::UnboundedSender<GateCommand>>,
     proposals: HashMap<u64, oneshot::Sender<ProposalResult>>,
     last_proposal: u64,
+    /// Requests that were to be sent although their callers are gone.
+    orphans: Vec<RequestId>,
 }
 
 /// Owns the node: each input is handled to its end before the next.
@@ -53,6 +55,7 @@
             requests: HashMap::new(),
             proposals: HashMap::new(),
             last_proposal: 0,
+            orphans: Vec::new(),
         })
     }
 
@@ -93,6 +96,14 @@
         for action in self.node.handle(now, event) {
             self.perform(action);
         }
+        // Nobody else would ever end these requests, and their slots would stay taken.
+        while let Some(id) = self.orphans.pop() {
+            for event in [Event::Ended(id, RequestEnd::NotSent), Event::Abandoned(id)] {
+                for action in self.node.handle(now, event) {
+                    self.perform(action);
+                }
+            }
+        }
         if let Some(id) = ended.filter(|id| !self.node.has_request(*id)) {
             self.requests.remove(&id);
         }
@@ -101,14 +112,19 @@
     fn perform(&mut self, action: Action) {
         match action {
             Action::Dispatch(order) => {
-                self.command(order.request, GateCommand::Dispatch(order.clone()));
+                let id = order.request;
+                if !self.command(id, GateCommand::Dispatch(order)) {
+                    self.orphans.push(id);
+                }
             }
             Action::Refuse(refusal) => {
                 let id = refusal.request;
                 self.command(id, GateCommand::Refuse(refusal));
                 self.requests.remove(&id);
             }
-            Action::Cancel(id, code) => self.command(id, GateCommand::Cancel(code)),
+            Action::Cancel(id, code) => {
+                self.command(id, GateCommand::Cancel(code));
+            }
             Action::Send(to, message) => self.outlets.transport.send(to, message),
             Action::Store(id, op) => self.outlets.store.call(id, op),
             Action::Order(address, message) => {
@@ -135,9 +151,8 @@
         }
     }
 
-    fn command(&self, id: RequestId, command: GateCommand) {
-        if let Some(commands) = self.requests.get(&id) {
-            let _ = commands.send(command);
-        }
+    /// Passes a command to the exchange that carries a request. Returns false when it ended.
+    fn command(&self, id: RequestId, command: GateCommand) -> bool {
+        self.requests.get(&id).is_some_and(|commands| commands.send(command).is_ok())
     }
 }
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -349,7 +349,14 @@
 
     pub(super) fn ended(&mut self, now: Time, id: RequestId, end: RequestEnd) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Stage::Running(_) = &request.stage else { return };
+        let gone = matches!(end, RequestEnd::Cancelled(_) | RequestEnd::CallerGone(_));
+        if !matches!(request.stage, Stage::Running(_)) {
+            // The gate ended the exchange while this node was about to repeat it.
+            if gone {
+                self.abandoned(now, id);
+            }
+            return;
+        }
         let Stage::Running(attempt) = std::mem::replace(&mut request.stage, Stage::Queue) else {
             return;
         };
--- a/crates/node/tests/fleet/oracle.rs
+++ b/crates/node/tests/fleet/oracle.rs
@@ -24,6 +24,8 @@
     runs: u32,
     answer: Option<&'static str>,
     lost: bool,
+    /// The gate ended the exchange; what the node says later reaches nobody.
+    cancelled: bool,
 }
 
 #[derive(Default)]
@@ -60,6 +62,7 @@
             runs: 0,
             answer: None,
             lost: false,
+            cancelled: false,
         };
         self.requests.insert(id, sent);
         self.open.insert(id);
@@ -104,8 +107,18 @@
         }
     }
 
+    pub fn cancelled(&mut self, id: RequestId, now: Time) {
+        self.ended(id, 1, now);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.cancelled = true;
+        }
+    }
+
     pub fn refused(&mut self, id: RequestId, code: ResultCode, now: Time, frozen: Duration) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.cancelled {
+            return;
+        }
         assert_eq!(request.answer, None, "a request has two answers");
         if code.ran() == "no" {
             assert_eq!(request.runs, 0, "{code}: the request ran");
