--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -105,6 +105,9 @@
     /// The draft has no item.
     #[error("the change is empty")]
     Empty,
+    /// The draft has more items than one transaction of the service holds.
+    #[error("the change has {0} objects; at most 120 fit")]
+    TooMany(usize),
     /// The change does not follow the snapshot's revision.
     #[error("change {change} does not follow revision {snapshot}")]
     OutOfOrder {
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -15,6 +15,10 @@
 /// Largest number of replicas that a placement may ask for.
 const MAX_COPIES: u32 = 10_000;
 
+/// Most objects in a change. The service's transactions hold 128 operations, of which a change
+/// needs some for itself.
+const MAX_ITEMS: usize = 120;
+
 /// An object with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versioned {
@@ -93,6 +97,9 @@
         if draft.items.is_empty() {
             return Err(ChangeError::Empty);
         }
+        if draft.items.len() > MAX_ITEMS {
+            return Err(ChangeError::TooMany(draft.items.len()));
+        }
         let writes: Vec<Write> =
             draft.items.iter().map(|item| self.plan_item(item)).collect::<Result<_, _>>()?;
         let change = Change {
--- a/crates/config/tests/object_forms.rs
+++ b/crates/config/tests/object_forms.rs
@@ -82,6 +82,10 @@
     let delete = Draft { items: vec![DraftItem::delete(key)], ..draft(&[]) };
     assert!(Snapshot::default().plan(&delete).is_err());
     assert!(Snapshot::default().plan(&draft(&[])).is_err());
+    let team = |n: usize| json!({"kind": "team", "name": format!("t{n}"), "rate": 1, "burst": 1});
+    let many = |count: usize| draft(&(0..count).map(team).collect::<Vec<_>>());
+    assert!(Snapshot::default().plan(&many(120)).is_ok());
+    assert!(Snapshot::default().plan(&many(121)).is_err());
 }
 
 proptest! {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -20,6 +20,9 @@
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Longest pause within a streamed answer.
 pub(crate) const STREAM_PAUSE: Duration = Duration::from_secs(30);
+/// Bytes read from a target at once. A daemon carries thousands of streams, whose events are
+/// small; the default of 8 KiB would be most of what a stream costs.
+const READ_BYTES: usize = 2 << 10;
 const REQUEST_ID: &str = "x-request-id";
 
 /// A request as it goes to a target.
@@ -90,7 +93,8 @@
     let until = Instant::now() + time_left;
     let connected = tokio::time::timeout_at(until, connect(address)).await.ok().flatten();
     let Some(stream) = connected else { return ExchangeEnd::NotSent };
-    let Ok((sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+    let builder = http1::Builder::new().read_buf_exact_size(Some(READ_BYTES)).clone();
+    let Ok((sender, connection)) = builder.handshake(TokioIo::new(stream)).await else {
         return ExchangeEnd::NotSent;
     };
     // The process may have been stopped meanwhile.
--- a/crates/mangodeal/src/capacity/model.rs
+++ b/crates/mangodeal/src/capacity/model.rs
@@ -1,7 +1,9 @@
 //! Configurations and documents of a given size.
 
+use std::sync::Arc;
+
 use base::{ByteSize, Incarnation, ModelName, OrderId, Revision, Seat, TargetName};
-use config::{Change, Draft, DraftItem, Object, Snapshot};
+use config::{Change, Draft, DraftItem, Object, Snapshot, Versioned};
 use grant::{Roster, RosterStep, SeatEntry, Units};
 use node::{DomainView, PeerMessage, ViewDelta};
 use place::{LoadOrder, Phase, Replica, Residency, TargetPlan};
@@ -67,15 +69,9 @@
 
 fn build(objects: Vec<Value>) -> Snapshot {
     let parse = |value| serde_json::from_value::<Object>(value).expect("a valid object");
-    let items = objects.into_iter().map(parse).map(DraftItem::put).collect();
-    let draft = Draft {
-        id: "first".parse().expect("a name"),
-        actor: "capacity".to_owned(),
-        wall_ms: 0,
-        items,
-    };
-    let change = Snapshot::default().plan(&draft).expect("a valid configuration");
-    Snapshot::default().apply(&change).expect("the first change")
+    let versioned = |object| Versioned { revision: Revision(1), object: Arc::new(object) };
+    let objects = objects.into_iter().map(parse).map(versioned);
+    Snapshot::new(Revision(1), None, objects)
 }
 
 /// Returns a change of one team.
--- a/crates/mangodeal/tests/common/mod.rs
+++ b/crates/mangodeal/tests/common/mod.rs
@@ -84,6 +84,13 @@
         Pid::from_child(self.child.as_ref().unwrap())
     }
 
+    /// Returns the memory that the process holds.
+    pub fn resident_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/statm", self.pid().as_raw_nonzero());
+        let text = std::fs::read_to_string(path).unwrap();
+        text.split(' ').nth(1).unwrap().parse::<u64>().unwrap() * 4_096
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = kill_process(Pid::from_child(&child), Signal::CONT);
--- /dev/null
+++ b/crates/mangodeal/tests/stream_memory.rs
@@ -0,0 +1,47 @@
+//! Memory of a daemon that carries many streams.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{run, Fleet, Options};
+use standin::TargetOptions;
+
+const STREAMS: usize = 5_000;
+/// What 5,000 open streams may cost a daemon.
+const BOUND_BYTES: u64 = 128 << 20;
+
+#[test]
+fn five_thousand_streams() {
+    run(async {
+        let target =
+            TargetOptions { token_gap: Duration::from_secs(2), ..TargetOptions::default() };
+        let fleet =
+            Fleet::start(Options { domains: vec!["east"], target, ..Options::default() }).await;
+        let target = &fleet.targets[0];
+        // The default of 64 slots is for engines; the stand-in takes any number.
+        let object = serde_json::json!({"kind": "target", "name": target.0, "domain": "east",
+            "address": target.1.address().to_string(), "memory": 100, "fencing": true,
+            "slots": 10_000});
+        let team = serde_json::json!({"kind": "team", "name": "atelier", "labels": "tier=gold",
+            "rate": 10_000_000, "burst": 10_000_000});
+        let revision = fleet.apply(&[object, team]).await;
+        fleet.wait_in_force(revision, 1).await;
+        fleet.warm(0, "lace").await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let before = fleet.daemons[0].resident_bytes();
+        let mut open = Vec::new();
+        for _ in 0..STREAMS / 50 {
+            let calls: Vec<_> =
+                (0..50).map(|_| tokio::spawn(fleet.chat(0, "lace", 100, true).send())).collect();
+            for call in calls {
+                let answer = call.await.unwrap().unwrap();
+                assert_eq!(answer.status, 200, "{:?}", answer.code());
+                open.push(answer);
+            }
+        }
+        let grown = fleet.daemons[0].resident_bytes().saturating_sub(before);
+        eprintln!("{STREAMS} streams cost {} KiB each", grown / 1024 / STREAMS as u64);
+        assert!(grown < BOUND_BYTES, "{grown} bytes for {STREAMS} streams");
+    });
+}
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -258,9 +258,10 @@
                 (ResultCode::ChangeConflict, self.snapshot.get(key).cloned())
             }
             ChangeError::Missing(_) => (ResultCode::ObjectMissing, None),
-            ChangeError::Invalid { .. } | ChangeError::Empty | ChangeError::OutOfOrder { .. } => {
-                (ResultCode::ChangeInvalid, None)
-            }
+            ChangeError::Invalid { .. }
+            | ChangeError::Empty
+            | ChangeError::TooMany(_)
+            | ChangeError::OutOfOrder { .. } => (ResultCode::ChangeInvalid, None),
         };
         ProposalResult::Refused(code, error.to_string(), current)
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -391,7 +391,9 @@
             if sent > tokens {
                 return None;
             }
-            tokio::time::sleep(gap).await;
+            if sent > 0 {
+                tokio::time::sleep(gap).await;
+            }
             let text = if sent == tokens {
                 "data: [DONE]\n\n".to_owned()
             } else {
