--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -100,11 +100,7 @@
 
     /// Takes a whole snapshot when it is later than the present one.
     pub(crate) fn install(&mut self, snapshot: Snapshot) -> bool {
-        let first = !self.known;
-        if snapshot.revision() <= self.snapshot.revision() && !first {
-            return false;
-        }
-        if snapshot.revision() < self.snapshot.revision() {
+        if self.known && snapshot.revision() <= self.snapshot.revision() {
             return false;
         }
         self.known = true;
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -28,7 +28,8 @@
 
 pub const RATE: u64 = 100;
 pub const BURST: u64 = 400;
-pub const COPIES: u32 = 2;
+/// Most copies of each model; the first may run only once.
+pub const COPIES: [usize; 3] = [1, 2, 2];
 pub const TARGET_MEMORY: u64 = 100;
 pub const MODEL_MEMORY: u64 = 60;
 pub const MODELS: [&str; 3] = ["lace", "tulle", "silk"];
@@ -385,10 +386,12 @@
         };
         put(serde_json::json!({"kind": "team", "name": "atelier", "rate": RATE, "burst": BURST}));
         put(serde_json::json!({"kind": "access", "name": "all", "teams": "", "models": ""}));
-        put(serde_json::json!({"kind": "placement", "name": "all", "models": "",
-            "targets": "!plain", "copies": COPIES}));
-        for model in MODELS {
-            put(serde_json::json!({"kind": "model", "name": model, "memory": MODEL_MEMORY}));
+        for (model, copies) in MODELS.into_iter().zip(COPIES) {
+            let labels = format!("name={model}");
+            put(serde_json::json!({"kind": "placement", "name": model, "models": labels,
+                "targets": "!plain", "copies": copies}));
+            put(serde_json::json!({"kind": "model", "name": model, "labels": labels,
+                "memory": MODEL_MEMORY}));
         }
         for (name, target) in &self.targets {
             put(serde_json::json!({"kind": "target", "name": name, "address": "127.0.0.1:1",
@@ -648,9 +651,9 @@
     }
 
     fn check_copies(&self) {
-        for model in MODELS {
+        for (model, copies) in MODELS.into_iter().zip(COPIES) {
             let holders = self.targets.values().filter(|target| target.holds(model)).count();
-            assert!(holders <= COPIES as usize, "{holders} copies of {model} are loaded");
+            assert!(holders <= copies, "{holders} copies of {model} are loaded");
         }
     }
 
--- a/crates/node/tests/fleet/oracle.rs
+++ b/crates/node/tests/fleet/oracle.rs
@@ -34,6 +34,7 @@
     open: BTreeSet<RequestId>,
     runs_by_key: BTreeMap<String, u32>,
     accepted: Vec<String>,
+    rejected: Vec<String>,
     pub served: u64,
     pub refused: u64,
 }
@@ -145,10 +146,13 @@
     }
 
     pub fn proposed(&mut self, token: u64, result: &ProposalResult, _now: Time) {
-        if let ProposalResult::Accepted(_) | ProposalResult::Repeated(_) = result {
-            if token > 0 {
-                self.accepted.push(format!("change-{token}"));
+        let change = format!("change-{token}");
+        match result {
+            ProposalResult::Accepted(_) | ProposalResult::Repeated(_) if token > 0 => {
+                self.accepted.push(change);
             }
+            ProposalResult::Refused(code, ..) if code.ran() == "no" => self.rejected.push(change),
+            _ => {}
         }
     }
 
@@ -164,8 +168,11 @@
         }
     }
 
-    /// Checks that no accepted change was lost.
+    /// Checks that no accepted change was lost, and that none was refused that took effect.
     pub fn check_changes(&self, recorded: &[String]) {
+        for change in &self.rejected {
+            assert!(!recorded.contains(change), "refused {change} is recorded");
+        }
         for change in &self.accepted {
             assert!(recorded.contains(change), "accepted {change} is not recorded");
         }
