--- /dev/null
+++ b/crates/mangodeal/src/bench/latency.rs
@@ -0,0 +1,82 @@
+//! Added latency of a daemon.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standin::{TargetOptions, WeightStore};
+
+use super::fleet::{model_name, BenchFleet, FleetPlan};
+use super::report::Times;
+use crate::client::{HttpAnswer, HttpCall};
+use crate::demo::DemoError;
+
+/// Requests timed for each point.
+const PROBES: usize = 300;
+/// Streams that are open while requests are timed.
+const OPEN_STREAMS: [usize; 3] = [1, 64, 1_000];
+
+/// Prints the time to the first event, directly and through a daemon, in one run.
+///
+/// # Errors
+///
+/// Fails when the fleet can't be started or a request fails.
+pub async fn compare_latency() -> Result<(), DemoError> {
+    let target = TargetOptions {
+        first_token: Duration::ZERO,
+        token_gap: Duration::from_secs(1),
+        weights: WeightStore::new(4, Duration::from_millis(10)),
+        ..Default::default()
+    };
+    let plan = FleetPlan {
+        domains: vec!["east"],
+        daemons_each: 1,
+        targets_each: 1,
+        target,
+        models: 1,
+        model_memory: 50,
+        settings: "[placement]\nidle = 1h\n".to_owned(),
+    };
+    let fleet = BenchFleet::start(plan).await?;
+    let (daemon, target) = (fleet.caller(0), fleet.targets[0].address());
+    let key = fleet.key.reveal().to_owned();
+    first_event(daemon, &key).await?;
+    println!("time to the first event in ms, {PROBES} requests a point, one process");
+    println!(
+        "{:>12} {:>10} {:>10} {:>10} {:>10}",
+        "open", "direct p50", "p99", "daemon p50", "p99"
+    );
+    for streams in OPEN_STREAMS {
+        let mut open = Vec::new();
+        for _ in 0..streams {
+            open.push(first_event(daemon, &key).await?.1);
+        }
+        let (mut direct, mut through) = (Times::new(), Times::new());
+        for _ in 0..PROBES {
+            direct.add(first_event(target, &key).await?.0);
+            through.add(first_event(daemon, &key).await?.0);
+        }
+        println!(
+            "{streams:>12} {:>10.2} {:>10.2} {:>10.2} {:>10.2}",
+            direct.percentile(50.0),
+            direct.percentile(99.0),
+            through.percentile(50.0),
+            through.percentile(99.0)
+        );
+    }
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Opens a stream and returns the time to its first event.
+async fn first_event(address: SocketAddr, key: &str) -> Result<(Duration, HttpAnswer), DemoError> {
+    let body = json!({"model": model_name(0), "stream": true, "max_tokens": 60, "messages": []});
+    let call = HttpCall::post(address, "/v1/chat/completions", body.to_string()).bearer(key);
+    let started = Instant::now();
+    let mut answer = call.send().await?;
+    if answer.status != 200 {
+        return Err(DemoError::Unexpected(answer.json().await?.to_string()));
+    }
+    answer.next().await?;
+    Ok((started.elapsed(), answer))
+}
--- a/crates/mangodeal/src/command.rs
+++ b/crates/mangodeal/src/command.rs
@@ -6,12 +6,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use base::{Revision, SecretKey};
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use config::Kind;
 
+use crate::bench::IdleOptions;
 use crate::client::CallError;
 
 /// Operates, calls and measures mangodeal.
@@ -147,6 +149,11 @@
     Hash,
     /// Measure the slopes of the capacity page.
     Capacity,
+    /// Run experiments on embedded fleets.
+    Bench {
+        #[command(subcommand)]
+        experiment: Experiment,
+    },
     /// Print a completion script.
     Completion {
         /// Shell.
@@ -154,6 +161,27 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Experiment {
+    /// Compare the latency through a daemon with that of a target itself.
+    Latency,
+    /// Compare policies for idle replicas on the same requests.
+    Idle {
+        /// Policies, as the setting `idle` takes them.
+        #[arg(long, value_delimiter = ',', default_value = "5s,fitted")]
+        policies: Vec<String>,
+        /// Runs of each policy.
+        #[arg(long, default_value = "5")]
+        runs: u64,
+        /// First seed.
+        #[arg(long, default_value = "1")]
+        seed: u64,
+        /// Length of a run, in seconds.
+        #[arg(long, default_value = "20")]
+        seconds: u64,
+    },
+}
+
 #[derive(Args)]
 struct FileArguments {
     /// JSON file with one object or a list of objects; `-` stands for standard input.
@@ -230,6 +258,14 @@
                 let measured = tokio::task::spawn_blocking(crate::capacity::run).await;
                 measured.map_err(|error| failed(&error))
             }
+            Command::Bench { experiment: Experiment::Latency } => {
+                crate::bench::compare_latency().await.map_err(|error| failed(&error))
+            }
+            Command::Bench { experiment: Experiment::Idle { policies, runs, seed, seconds } } => {
+                let span = Duration::from_secs(seconds);
+                let options = IdleOptions { policies, runs, seed, span };
+                crate::bench::compare_idle(&options).await.map_err(|error| failed(&error))
+            }
             Command::Hash => {
                 let mut line = String::new();
                 std::io::stdin().read_line(&mut line).map_err(|error| failed(&error))?;
--- a/crates/mangodeal/src/lib.rs
+++ b/crates/mangodeal/src/lib.rs
@@ -33,6 +33,7 @@
 //!
 //! The clients speak HTTP/1.1 without TLS.
 
+pub mod bench;
 pub mod capacity;
 pub mod client;
 pub mod command;
