Split the large files by job, and drop what nothing reads

Claims and demands have files of their own in the node, the target's state and the settings in the placer, heads and streams in the caller's gate, hosts and load in the fuzzer. A proposal's stage was written and never read.

--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -1,15 +1,17 @@
 //! Callers' interface.
 
+mod head;
+mod stream;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::{RequestId, ResultCode, SecretKey, TokenCount};
-use bytes::Bytes;
 use config::Snapshot;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, AUTHORIZATION, CONTENT_TYPE};
+use hyper::header::CONTENT_TYPE;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
@@ -20,33 +22,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use self::head::{deadline, idempotency, passed_headers, presented_key, priority};
+use self::stream::pass_stream;
 use crate::body::{read, streamed, ReplyBody};
-use crate::exchange::{
-    exchange, ExchangeEnd, StreamAnswer, StreamPiece, TargetRequest, WholeAnswer,
-};
+use crate::exchange::{exchange, ExchangeEnd, StreamAnswer, TargetRequest, WholeAnswer};
 use crate::link::{GateCommand, NodeLink};
 use crate::metrics::GateMetrics;
-use crate::parse::{contains, has_key_parameter, used_tokens, ModelRequest};
+use crate::parse::{contains, has_key_parameter, ModelRequest};
 use crate::reply;
 
 /// Paths that go to model engines.
 const MODEL_PATHS: [&str; 3] = ["/v1/chat/completions", "/v1/completions", "/v1/embeddings"];
-/// Headers that are passed on to targets; all others, credentials among them, are not.
-const PASSED_HEADERS: [&str; 6] = [
-    "content-type",
-    "accept",
-    "accept-language",
-    "idempotency-key",
-    "traceparent",
-    "x-mangodeal-priority",
-];
-const DEADLINE_HEADER: &str = "x-mangodeal-deadline-ms";
-const PRIORITY_HEADER: &str = "x-mangodeal-priority";
-const IDEMPOTENCY_HEADER: &str = "idempotency-key";
-/// Longest deadline that a caller may ask for.
-const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
-/// Longest idempotency key.
-const MAX_IDEMPOTENCY_BYTES: usize = 256;
 /// Events of a stream that wait for a slow caller.
 const STREAM_QUEUE: usize = 16;
 
@@ -204,42 +190,34 @@
             let detail = "the request repeats its key outside the Authorization header";
             return Err(EarlyRefusal(ResultCode::BadRequest, Some(detail.to_owned())));
         }
-        let default = match route {
-            Some(route) => Duration::from_millis(route.deadline_ms),
-            None => self.config.deadline,
-        };
-        let id = self.link.next_request();
-        let mut spec = NewRequest {
-            id,
-            key: key.as_ref().map(SecretKey::hash),
-            goal: RequestGoal::Route("_".parse().map_err(|_| ResultCode::BadRequest)?),
-            cost: TokenCount::ZERO,
-            deadline: self.link.now() + deadline(&head.headers, default)?,
-            priority: priority(&head.headers)?,
-            idempotency: None,
-            idempotent: true,
-        };
         let mut target_path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        match route {
+        let safe = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
+        let (goal, cost, idempotent, default) = match route {
             Some(route) => {
-                let safe = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
-                spec.goal = RequestGoal::Route(route.name.clone());
-                spec.cost = if route.open { TokenCount::ZERO } else { route.cost };
-                spec.idempotent = route.idempotent || safe;
-                if !spec.idempotent {
-                    spec.idempotency = idempotency(&head.headers)?;
-                }
                 target_path = format!("/{}", &target_path[route.prefix.len()..]);
+                let cost = if route.open { TokenCount::ZERO } else { route.cost };
+                let span = Duration::from_millis(route.deadline_ms);
+                (RequestGoal::Route(route.name.clone()), cost, route.idempotent || safe, span)
             }
             None => {
                 let model: ModelRequest = serde_json::from_slice(&body).map_err(|error| {
                     EarlyRefusal(ResultCode::BadRequest, Some(error.to_string()))
                 })?;
-                spec.cost = model.cost(&path, body.len());
-                spec.goal = RequestGoal::Model(model.model);
-                let _ = model.stream;
+                let cost = model.cost(&path, body.len());
+                (RequestGoal::Model(model.model), cost, true, self.config.deadline)
             }
-        }
+        };
+        let id = self.link.next_request();
+        let spec = NewRequest {
+            id,
+            key: key.as_ref().map(SecretKey::hash),
+            goal,
+            cost,
+            deadline: self.link.now() + deadline(&head.headers, default)?,
+            priority: priority(&head.headers)?,
+            idempotency: if idempotent { None } else { idempotency(&head.headers)? },
+            idempotent,
+        };
         let target = TargetRequest {
             method: head.method,
             path: target_path,
@@ -383,64 +361,6 @@
     }
 }
 
-/// Passes a streamed answer on to the caller, whole events only.
-async fn pass_stream(
-    mut answer: StreamAnswer,
-    mut guard: RequestGuard,
-    mut commands: mpsc::UnboundedReceiver<GateCommand>,
-    sender: mpsc::Sender<Bytes>,
-    body_bytes: usize,
-) {
-    let prompt = (body_bytes as u64).div_ceil(4);
-    let mut reported = None;
-    let mut events = std::mem::take(&mut answer.first);
-    let end = loop {
-        for event in events.drain(..) {
-            reported = usage_of(&event).or(reported);
-            if sender.send(event).await.is_err() {
-                break;
-            }
-        }
-        let piece = tokio::select! {
-            biased;
-            code = cancelled(&mut commands) => Err(code),
-            () = sender.closed() => break RequestEnd::CallerGone(TokenCount::ZERO),
-            piece = answer.next() => Ok(piece),
-        };
-        match piece {
-            Ok(StreamPiece::Events(more)) => events = more,
-            Ok(StreamPiece::Whole) => break RequestEnd::Served(TokenCount::ZERO),
-            Ok(StreamPiece::Broken) => {
-                let _ = sender.send(error_event(ResultCode::BrokenAnswer)).await;
-                break RequestEnd::Broken(TokenCount::ZERO);
-            }
-            Err(code) => {
-                let _ = sender.try_send(error_event(code));
-                break RequestEnd::Cancelled(TokenCount::ZERO);
-            }
-        }
-    };
-    let used = reported.unwrap_or(TokenCount(prompt + answer.splitter.events()));
-    guard.end(match end {
-        RequestEnd::Served(_) => RequestEnd::Served(used),
-        RequestEnd::Broken(_) => RequestEnd::Broken(used),
-        RequestEnd::CallerGone(_) => RequestEnd::CallerGone(used),
-        _ => RequestEnd::Cancelled(used),
-    });
-}
-
-fn usage_of(event: &Bytes) -> Option<TokenCount> {
-    if !contains(event, b"\"usage\"") {
-        return None;
-    }
-    let text = std::str::from_utf8(event).ok()?;
-    text.lines().find_map(|line| used_tokens(line.strip_prefix("data:")?.as_bytes()))
-}
-
-fn error_event(code: ResultCode) -> Bytes {
-    Bytes::from(format!("data: {}\n\n", reply::error_json(code, None)))
-}
-
 fn whole_reply(answer: WholeAnswer) -> Response<ReplyBody> {
     let mut response = Response::new(crate::body::full(answer.body));
     *response.status_mut() = answer.status;
@@ -470,58 +390,3 @@
         .collect();
     reply::json_reply(200, &json!({"object": "list", "data": data}))
 }
-
-fn presented_key(headers: &HeaderMap) -> Result<Option<SecretKey>, EarlyRefusal> {
-    let mut values = headers.get_all(AUTHORIZATION).iter();
-    let Some(value) = values.next() else { return Ok(None) };
-    if values.next().is_some() {
-        let detail = "more than one Authorization header".to_owned();
-        return Err(EarlyRefusal(ResultCode::BadRequest, Some(detail)));
-    }
-    let text = value.to_str().map_err(|_| ResultCode::KeyRejected)?;
-    let (scheme, key) = text.split_once(' ').ok_or(ResultCode::KeyRejected)?;
-    if !scheme.eq_ignore_ascii_case("bearer") || key.trim().is_empty() {
-        return Err(ResultCode::KeyRejected.into());
-    }
-    Ok(Some(SecretKey::new(key.trim())))
-}
-
-fn passed_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = HeaderMap::new();
-    for name in PASSED_HEADERS {
-        if let Some(value) = headers.get(name) {
-            passed.insert(HeaderName::from_static(name), value.clone());
-        }
-    }
-    passed
-}
-
-fn deadline(headers: &HeaderMap, default: Duration) -> Result<Duration, EarlyRefusal> {
-    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(default) };
-    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
-    let deadline = millis.map(Duration::from_millis).filter(|span| *span <= MAX_DEADLINE);
-    deadline.ok_or_else(|| {
-        let detail = format!("{DEADLINE_HEADER} must be a number of milliseconds up to 3600000");
-        EarlyRefusal(ResultCode::BadRequest, Some(detail))
-    })
-}
-
-fn priority(headers: &HeaderMap) -> Result<i32, EarlyRefusal> {
-    let Some(value) = headers.get(PRIORITY_HEADER) else { return Ok(0) };
-    let number = value.to_str().ok().and_then(|text| text.parse::<i32>().ok());
-    number.filter(|number| (-100..=100).contains(number)).ok_or_else(|| {
-        let detail = format!("{PRIORITY_HEADER} must be an integer from -100 to 100");
-        EarlyRefusal(ResultCode::BadRequest, Some(detail))
-    })
-}
-
-/// Returns the hash of the caller's idempotency key, since the key itself may be sensitive.
-fn idempotency(headers: &HeaderMap) -> Result<Option<String>, EarlyRefusal> {
-    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else { return Ok(None) };
-    if value.is_empty() || value.len() > MAX_IDEMPOTENCY_BYTES {
-        let detail = format!("{IDEMPOTENCY_HEADER} must have 1 to {MAX_IDEMPOTENCY_BYTES} bytes");
-        return Err(EarlyRefusal(ResultCode::BadRequest, Some(detail)));
-    }
-    let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
-    Ok(Some(SecretKey::new(text).hash().to_string()))
-}
--- a/crates/gate/src/parse.rs
+++ b/crates/gate/src/parse.rs
@@ -16,8 +16,6 @@
 pub(crate) struct ModelRequest {
     pub(crate) model: ModelName,
     #[serde(default)]
-    pub(crate) stream: bool,
-    #[serde(default)]
     max_tokens: Option<u64>,
     #[serde(default)]
     max_completion_tokens: Option<u64>,
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -23,22 +23,10 @@
     change: ChangeId,
 }
 
-/// Where a proposal is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProposalStage {
-    /// The log is being read, so that it is judged on the latest revision.
-    CatchingUp,
-    /// The transaction is on its way.
-    Recording,
-    /// The change's own key is being read, to see whether it was recorded.
-    Resolving,
-}
-
 /// An operator's change that has no answer yet.
 #[derive(Clone, Debug)]
 struct Proposal {
     draft: Draft,
-    stage: ProposalStage,
     until: Time,
     /// Whether a transaction may have taken effect unseen.
     uncertain: bool,
@@ -151,8 +139,7 @@
     /// Takes an operator's change and returns the first call that it needs.
     pub(crate) fn propose(&mut self, now: Time, token: u64, draft: Draft) -> StoreOp {
         let until = now + PROPOSAL_SPAN;
-        let stage = ProposalStage::CatchingUp;
-        let proposal = Proposal { draft, stage, until, uncertain: false, change: None };
+        let proposal = Proposal { draft, until, uncertain: false, change: None };
         self.proposals.insert(token, proposal);
         self.catch_up()
     }
@@ -163,7 +150,6 @@
         if !read {
             return self.give_up(now, token, "the key-value service does not answer");
         }
-        proposal.stage = ProposalStage::Recording;
         match self.snapshot.plan(&proposal.draft) {
             Ok(change) => {
                 let op = StoreOp::Txn(record_txn(&change));
@@ -219,10 +205,7 @@
                 self.proposals.remove(&token);
                 Some(ProposalStep::Done(result))
             }
-            Some(None) if now < proposal.until => {
-                proposal.stage = ProposalStage::CatchingUp;
-                Some(ProposalStep::Call(self.catch_up()))
-            }
+            Some(None) if now < proposal.until => Some(ProposalStep::Call(self.catch_up())),
             None if now < proposal.until => Some(ProposalStep::Call(self.resolve(token)?)),
             _ => self.give_up(now, token, "the change could not be recorded in time"),
         }
@@ -230,7 +213,6 @@
 
     fn resolve(&mut self, token: u64) -> Option<StoreOp> {
         let proposal = self.proposals.get_mut(&token)?;
-        proposal.stage = ProposalStage::Resolving;
         Some(StoreOp::Read(change_key(&proposal.draft.id)))
     }
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use base::{
-    ChangeId, DomainName, Fence, Incarnation, ModelName, OrderId, Revision, TargetName, TeamName,
-};
+use base::{ChangeId, DomainName, Fence, Incarnation, OrderId, Revision, TargetName, TeamName};
 use config::{Change, Snapshot, Versioned};
 use grant::{LoanOffer, LoanSettlement, MicroTokens, Roster};
 use place::{ModelWant, Residency, WantAnswer};
@@ -201,14 +199,3 @@
     /// The orders that the sender will never send again.
     Disowned(Vec<OrderId>),
 }
-
-impl PeerMessage {
-    /// Returns the models that a demand or its answer names, for logs.
-    pub fn model(&self) -> Option<&ModelName> {
-        match self {
-            PeerMessage::Want(want) => Some(&want.model),
-            PeerMessage::WantAnswer(answer) => Some(&answer.model),
-            _ => None,
-        }
-    }
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,9 +1,11 @@
 //! The state machine that joins all parts.
 
+mod claims;
 mod peers;
 mod placing;
 mod requests;
 mod storing;
+mod wants;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -2,24 +2,16 @@
 
 use std::time::Duration;
 
-use base::{ModelName, RequestId, ResultCode, Revision, SortedMap, TeamName, Time, TokenCount};
+use base::{ModelName, RequestId, ResultCode, SortedMap, TeamName, Time, TokenCount};
 use config::{Snapshot, TargetKind};
-use place::{ModelWant, WantAnswer};
+use place::ModelWant;
 use route::{Attempt, AttemptEnd, QueueEntry, TargetChoice};
 
-use super::{Node, OpPurpose, OpenWant};
+use super::Node;
 use crate::request::{ClaimState, RequestState, Stage, TraceStep};
 use crate::token::{TokenVerdict, TokenWait, Tokens};
-use crate::{
-    claim_key, Action, DispatchOrder, KeyValue, NewRequest, PeerMessage, Refusal, RequestEnd,
-    RequestGoal, StoreOp, StoreTxn, TxnOutcome,
-};
+use crate::{Action, DispatchOrder, NewRequest, Refusal, RequestEnd, RequestGoal};
 
-/// Time between two repetitions of a demand.
-const WANT_INTERVAL: Duration = Duration::from_millis(500);
-/// How long requests wait for a slot before another replica is asked for, and for a replica
-/// before other failure domains are asked.
-const WANT_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Pause before a request that was declined goes out again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Most transmissions of one request.
@@ -27,7 +19,7 @@
 /// Most transmissions of one request after which it may have run, but for the last.
 const MAX_LOST: u32 = 2;
 /// When to come back after a refusal whose cause gives no better estimate.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Whether a target can take a request now.
 enum Choice {
@@ -115,7 +107,7 @@
         }
     }
 
-    fn enqueue(&mut self, id: RequestId) {
+    pub(super) fn enqueue(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Queue;
         self.queue.push(QueueEntry {
@@ -225,109 +217,7 @@
         }
     }
 
-    /// Records the idempotency key of a request that must not run twice, then sends it.
-    fn claim_or_send(&mut self, now: Time, id: RequestId, target: base::TargetName) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let needs_claim =
-            request.spec.idempotency.is_some() && !matches!(request.claim, ClaimState::Recorded(_));
-        if !needs_claim {
-            self.dispatch(now, id, target);
-            return;
-        }
-        if !self.service_up {
-            let after = Some(DEFAULT_RETRY_AFTER);
-            self.refuse(now, id, ResultCode::ClaimUnavailable, after);
-            return;
-        }
-        self.traces.add(now, id, TraceStep::Claims);
-        self.queue.remove(id);
-        let Some(txn) = self.claim_txn(id) else { return };
-        let op = self.call(OpPurpose::Claim(id), StoreOp::Txn(txn));
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.stage = Stage::Claiming(op);
-            request.claim = ClaimState::Uncertain;
-        }
-    }
-
-    fn claim_txn(&self, id: RequestId) -> Option<StoreTxn> {
-        let key = self.claim_key(id)?;
-        let value = self.claim_value(id);
-        Some(StoreTxn::default().expect(key.clone(), Revision(0)).put(key, value))
-    }
-
-    fn claim_key(&self, id: RequestId) -> Option<String> {
-        let request = self.requests.get(&id)?;
-        let hash = request.spec.idempotency.as_ref()?;
-        // Callers without a key share one name space.
-        let team = request.team.clone().or_else(|| "_open".parse().ok())?;
-        Some(claim_key(&team, hash))
-    }
-
-    pub(super) fn claim_written(&mut self, now: Time, id: RequestId, outcome: TxnOutcome) {
-        match outcome {
-            TxnOutcome::Done(revision) => self.claim_recorded(now, id, revision),
-            // The conflict may be with this daemon's own write whose answer was lost.
-            TxnOutcome::Conflict | TxnOutcome::Unknown => {
-                if let Some(key) = self.claim_key(id) {
-                    let op = self.call(OpPurpose::ClaimRead(id), StoreOp::Read(key));
-                    self.set_claiming(id, op);
-                }
-            }
-            TxnOutcome::NotSent => {
-                self.refuse(now, id, ResultCode::ClaimUnavailable, Some(DEFAULT_RETRY_AFTER));
-            }
-        }
-    }
-
-    pub(super) fn claim_read(&mut self, now: Time, id: RequestId, read: Option<Option<KeyValue>>) {
-        let own = self.claim_value(id);
-        match read {
-            Some(Some(entry)) if entry.value == own => {
-                self.claim_recorded(now, id, entry.revision);
-            }
-            Some(Some(_)) => {
-                if let Some(request) = self.requests.get_mut(&id) {
-                    request.claim = ClaimState::Open;
-                }
-                self.refuse(now, id, ResultCode::AlreadyClaimed, None);
-            }
-            // The first write may still take effect; if so, this one conflicts with it and the
-            // next read finds this daemon's own value.
-            Some(None) => {
-                if let Some(txn) = self.claim_txn(id) {
-                    let op = self.call(OpPurpose::Claim(id), StoreOp::Txn(txn));
-                    self.set_claiming(id, op);
-                }
-            }
-            None => {
-                self.refuse(now, id, ResultCode::ClaimUnavailable, Some(DEFAULT_RETRY_AFTER));
-            }
-        }
-    }
-
-    fn set_claiming(&mut self, id: RequestId, op: crate::OpId) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            if let Stage::Claiming(current) = &mut request.stage {
-                *current = op;
-            }
-        }
-    }
-
-    fn claim_recorded(&mut self, now: Time, id: RequestId, revision: Revision) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Stage::Claiming(_) = &request.stage else { return };
-        request.claim = ClaimState::Recorded(revision);
-        if now >= request.spec.deadline {
-            self.refuse(now, id, ResultCode::DeadlinePassed, None);
-            return;
-        }
-        // Permissions, the target's state or its load may have changed meanwhile.
-        self.enqueue(id);
-    }
-
-    fn dispatch(&mut self, now: Time, id: RequestId, target: base::TargetName) {
+    pub(super) fn dispatch(&mut self, now: Time, id: RequestId, target: base::TargetName) {
         let snapshot = self.sync.snapshot().clone();
         let Some(object) = snapshot.target(&target) else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -453,17 +343,6 @@
         self.out.actions.push(Action::Refuse(Refusal { request, code, retry_after }));
     }
 
-    /// Deletes the claim of a request that did not run, so that the caller can try again. Only a
-    /// claim that is surely this request's own is deleted.
-    fn release_claim(&mut self, id: RequestId) {
-        let claim = self.requests.get(&id).map(|request| request.claim);
-        let (Some(ClaimState::Recorded(revision)), Some(key)) = (claim, self.claim_key(id)) else {
-            return;
-        };
-        let txn = StoreTxn::default().expect(key.clone(), revision).delete(key);
-        self.call(OpPurpose::Forgotten, StoreOp::Txn(txn));
-    }
-
     /// Forgets a request and closes its charge.
     fn finish(&mut self, now: Time, id: RequestId, code: ResultCode, used: TokenCount) {
         self.traces.add(now, id, TraceStep::Ended(code));
@@ -519,76 +398,6 @@
             }
         }
     }
-
-    /// Refuses the requests that a load can't serve in time.
-    pub(super) fn want_answered(&mut self, now: Time, answer: &WantAnswer) {
-        let late: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| {
-                matches!(request.stage, Stage::Queue)
-                    && request.spec.goal == RequestGoal::Model(answer.model.clone())
-                    && now + answer.retry_after / 2 > request.spec.deadline
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in late {
-            self.refuse(now, id, ResultCode::NoCapacity, Some(answer.retry_after));
-        }
-    }
-
-    fn add_want(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        extra: bool,
-        wanted: &mut SortedMap<ModelName, ModelWant>,
-    ) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let RequestGoal::Model(model) = &request.spec.goal else { return };
-        let time_left = request.spec.deadline.since(now);
-        let fresh = || ModelWant { model: model.clone(), time_left, waiting: 0, extra };
-        let want = wanted.entry(model.clone(), fresh);
-        want.waiting += 1;
-        want.time_left = want.time_left.min(time_left);
-    }
-
-    fn send_wants(&mut self, now: Time, wanted: SortedMap<ModelName, ModelWant>) {
-        self.wants.retain(|model, _| wanted.contains(model));
-        let snapshot = self.sync.snapshot().clone();
-        for (model, want) in wanted.iter() {
-            let fresh = || OpenWant { since: now, sent_at: None };
-            let open = self.wants.entry(model.clone(), fresh);
-            let waited = now.since(open.since);
-            let due = open.sent_at.is_none_or(|at| now.since(at) >= WANT_INTERVAL);
-            if !due || (want.extra && waited < WANT_PATIENCE) {
-                continue;
-            }
-            open.sent_at = Some(now);
-            self.send_want(now, &snapshot, want, waited);
-        }
-    }
-
-    /// Sends a demand to the placer of the own failure domain if it may hold the model, and to
-    /// those of others if not, or if the own one does not act.
-    fn send_want(&mut self, now: Time, snapshot: &Snapshot, want: &ModelWant, waited: Duration) {
-        let mut domains = domains_of(snapshot, &want.model);
-        let own = self.config.domain.clone();
-        if domains.binary_search(&own).is_ok() && waited < WANT_PATIENCE {
-            domains = vec![own];
-        }
-        for domain in domains {
-            let recorded = self.placers.get(&domain).map(|placer| &placer.seat.address);
-            // A daemon that started during an outage knows placers by their views only.
-            let Some(address) = recorded.or(self.views.placer(&domain)).cloned() else { continue };
-            if address == self.config.seat.address {
-                self.next_place = now;
-                self.placer.want(now, want);
-            } else {
-                self.send(&address, PeerMessage::Want(want.clone()));
-            }
-        }
-    }
 }
 
 /// Returns the team for which a request may run under `snapshot`; `None` stands for a caller
@@ -628,14 +437,3 @@
         |target: &config::TargetObject| target.memory >= need && snapshot.may_place(base, target);
     snapshot.copies(base) > 0 && snapshot.targets().any(fits)
 }
-
-/// Returns the failure domains that may hold a model, sorted.
-fn domains_of(snapshot: &Snapshot, model: &ModelName) -> Vec<base::DomainName> {
-    let Some(servable) = snapshot.servable(model) else { return Vec::new() };
-    let base = servable.base.unwrap_or(servable.name);
-    let targets = snapshot.targets().filter(|target| snapshot.may_place(base, target));
-    let mut domains: Vec<_> = targets.map(|target| target.domain.clone()).collect();
-    domains.sort();
-    domains.dedup();
-    domains
-}
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -2,6 +2,8 @@
 //! oracle that only adds up.
 #![allow(dead_code)]
 
+mod host;
+mod load;
 mod oracle;
 mod service;
 pub mod step;
@@ -14,10 +16,9 @@
 use base::{Incarnation, Name, RequestId, Seat, Time, TokenCount};
 use config::{Draft, DraftItem};
 use mango_node::{
-    Action, Event, HostEntry, HostRole, HostsReport, NewRequest, Node, NodeConfig, OpId,
-    PeerMessage, RequestEnd, RequestGoal, ServiceEvent, StoreOp, TraceStep,
+    Action, Event, Node, OpId, PeerMessage, RequestEnd, ServiceEvent, StoreOp, TraceStep,
 };
-use place::{IdlePolicy, OrderMessage, PlaceConfig};
+use place::OrderMessage;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -171,80 +172,6 @@
         format!("10.0.0.{at}:7001").parse().unwrap()
     }
 
-    /// Starts a process at a host, in place of any former one.
-    pub fn start(&mut self, at: usize) {
-        if self.hosts[at].node.is_some() {
-            self.kill(at);
-        }
-        self.next_incarnation += 1;
-        let incarnation = self.next_incarnation;
-        let place = PlaceConfig::default()
-            .load_slots(2)
-            .order_drain(Duration::from_secs(20))
-            .reserve(1, DOMAINS.len())
-            .idle_policy(IdlePolicy::Fixed(Duration::from_secs(4)));
-        let host = &mut self.hosts[at];
-        let config =
-            NodeConfig::new(base::Address(Self::address(at)), host.domain.parse().unwrap())
-                .incarnation(Incarnation(incarnation))
-                .domains(DOMAINS.len())
-                .place(place);
-        host.node = Some(Node::new(self.now, config));
-        host.incarnation = incarnation;
-        host.frozen = false;
-        host.freeze_next = false;
-        host.listed = false;
-        host.last_revision = 0;
-        host.last_lease = Time::ZERO;
-        host.frozen_span = Duration::ZERO;
-        host.held.clear();
-        host.inbox.clear();
-        host.polls.clear();
-        host.watching = true;
-        self.listed_hosts.insert(at);
-    }
-
-    /// Ends a process. Its connections end with it; what is on the wire stays there.
-    pub fn kill(&mut self, at: usize) {
-        let host = &mut self.hosts[at];
-        host.node = None;
-        host.held.clear();
-        host.inbox.clear();
-        host.polls.clear();
-        let incarnation = host.incarnation;
-        self.oracle.killed(at, incarnation);
-    }
-
-    /// Removes a host whose process ended from the platform's list.
-    pub fn unlist(&mut self, at: usize) {
-        if self.hosts[at].node.is_none() {
-            self.listed_hosts.remove(&at);
-        }
-    }
-
-    pub fn freeze(&mut self, at: usize, before_actions: bool) {
-        let host = &mut self.hosts[at];
-        if before_actions {
-            host.freeze_next = true;
-        } else {
-            host.frozen = true;
-        }
-    }
-
-    /// Lets a host go on: first with the actions that it had decided on, then with what arrived.
-    pub fn thaw(&mut self, at: usize) {
-        let host = &mut self.hosts[at];
-        host.frozen = false;
-        host.freeze_next = false;
-        let (held, inbox) = (std::mem::take(&mut host.held), std::mem::take(&mut host.inbox));
-        for action in held {
-            self.perform(at, action);
-        }
-        for event in inbox {
-            self.handle(at, event);
-        }
-    }
-
     /// Ends all faults.
     pub fn heal(&mut self) {
         self.loss = 0;
@@ -291,60 +218,6 @@
         }
     }
 
-    /// Sends a request for a model to a host.
-    pub fn request(&mut self, at: usize, model: usize, cost: u64, patience: Duration) {
-        self.send_request(
-            at,
-            RequestGoal::Model(MODELS[model].parse().unwrap()),
-            cost,
-            patience,
-            None,
-        );
-    }
-
-    /// Sends a call of a plain service, which must not run twice, to a host.
-    pub fn book(&mut self, at: usize, idempotency: u64) {
-        let goal = RequestGoal::Route("booking".parse().unwrap());
-        let key = format!("{idempotency:x}");
-        self.send_request(at, goal, 0, Duration::from_secs(5), Some(key));
-    }
-
-    /// Sends calls of the plain service that may be repeated and cost tokens.
-    pub fn burst(&mut self, at: usize, count: usize, cost: u64, patience: Duration) {
-        for _ in 0..count {
-            let goal = RequestGoal::Route("booking".parse().unwrap());
-            self.send_request(at, goal, cost, patience, None);
-        }
-    }
-
-    fn send_request(
-        &mut self,
-        at: usize,
-        goal: RequestGoal,
-        cost: u64,
-        patience: Duration,
-        idempotency: Option<String>,
-    ) {
-        if self.hosts[at].node.is_none() || self.hosts[at].frozen {
-            return;
-        }
-        self.next_request += 1;
-        let id = RequestId(self.next_request);
-        let spec = NewRequest {
-            id,
-            key: Some(base::SecretKey::new(KEY).hash()),
-            goal,
-            cost: TokenCount(cost),
-            deadline: self.now + patience,
-            priority: 0,
-            idempotent: idempotency.is_none(),
-            idempotency: idempotency.clone(),
-        };
-        let incarnation = self.hosts[at].incarnation;
-        self.oracle.sent(id, at, incarnation, self.now, spec.deadline, cost, idempotency);
-        self.handle(at, Event::Arrived(spec));
-    }
-
     /// Proposes a change at a host: `None` creates the next label, `Some` sets or deletes the key.
     pub fn propose(&mut self, at: usize, key: Option<bool>) {
         self.next_change += 1;
@@ -553,88 +426,6 @@
         self.push(delay, Delivery::ToService(at, incarnation, id, op));
     }
 
-    /// Delivers what a daemon's own tasks bring: lists, watched changes, leases, hosts, reports.
-    fn serve_host(&mut self, at: usize) {
-        if self.hosts[at].node.is_none() || self.hosts[at].frozen {
-            return;
-        }
-        let now = self.now;
-        let millis = now.as_micros() / 1_000;
-        let cut = self.hosts[at].service_cut || self.service.down;
-        if cut {
-            self.hosts[at].listed = false;
-            if millis.is_multiple_of(500) {
-                self.handle(at, Event::Service(ServiceEvent::Down));
-            }
-        } else if !self.hosts[at].watching {
-            self.hosts[at].listed = false;
-            if millis.is_multiple_of(5_000) {
-                let head = self.service.head();
-                let event = ServiceEvent::HeadRead { asked_at: now, head };
-                self.handle(at, Event::Service(event));
-            }
-        } else {
-            self.serve_watcher(at, millis);
-        }
-        if millis.is_multiple_of(500) {
-            let hosts = self.host_list();
-            self.handle(at, Event::Hosts(hosts));
-        }
-        if millis.is_multiple_of(250) {
-            let incarnation = self.hosts[at].incarnation;
-            for (target, _) in self.hosts[at].polls.clone() {
-                let delay = self.latency();
-                self.push(delay, Delivery::Poll(at, incarnation, target, now));
-            }
-        }
-    }
-
-    fn serve_watcher(&mut self, at: usize, millis: u64) {
-        let now = self.now;
-        if !self.hosts[at].listed {
-            self.hosts[at].listed = true;
-            self.hosts[at].seen = self.service.revision;
-            let event = Event::Service(self.service.list(now));
-            self.handle(at, event);
-        }
-        let events = self.service.events_after(self.hosts[at].seen);
-        self.hosts[at].seen = self.service.revision;
-        if !events.is_empty() {
-            self.handle(at, Event::Service(ServiceEvent::Watched(events)));
-        }
-        if millis.is_multiple_of(500) {
-            let head = self.service.head();
-            self.handle(at, Event::Service(ServiceEvent::HeadRead { asked_at: now, head }));
-        }
-        if now.since(self.hosts[at].last_lease) >= Duration::from_secs(1) {
-            self.hosts[at].last_lease = now;
-            let incarnation = self.hosts[at].incarnation;
-            let (lease, kept) = self.service.keep_lease(at, incarnation, now + LEASE);
-            if !kept {
-                self.handle(at, Event::Service(ServiceEvent::LeaseLost));
-            }
-            let event = ServiceEvent::LeaseKept { lease, until: now + LEASE };
-            self.handle(at, Event::Service(event));
-        }
-    }
-
-    fn host_list(&self) -> HostsReport {
-        let entry = |at: &usize| HostEntry {
-            role: HostRole::Entry,
-            name: Self::address(*at),
-            domain: self.hosts[*at].domain.parse().unwrap(),
-            leaving: false,
-        };
-        let target = |(name, target): (&String, &Target)| HostEntry {
-            role: HostRole::Target,
-            name: name.parse().unwrap(),
-            domain: target.domain.parse().unwrap(),
-            leaving: self.leaving.contains(name),
-        };
-        let targets = self.targets.iter().map(target);
-        HostsReport { hosts: self.listed_hosts.iter().map(entry).chain(targets).collect() }
-    }
-
     fn execute_order(&mut self, at: usize, incarnation: u64, message: &OrderMessage) {
         let name = message.target.as_str();
         let planned = self.service.is_planned(name, message.model.as_str());
@@ -656,48 +447,6 @@
             assert!(holders <= copies, "{holders} copies of {model} are loaded");
         }
     }
-
-    /// Carries a request to a target and back, as the gate does: nothing is sent after the
-    /// deadline, and nothing is waited for beyond it.
-    fn run(&mut self, at: usize, incarnation: u64, id: RequestId, target: &str) {
-        let time_left = self.oracle.deadline(id).since(self.now);
-        let mut end = if time_left.is_zero() {
-            RequestEnd::NotSent
-        } else {
-            self.run_on_target(at, id, target)
-        };
-        let mut delay = Duration::from_millis(self.random.random_range(5..300));
-        if delay > time_left {
-            delay = time_left;
-            end = if end == RequestEnd::NotSent { end } else { RequestEnd::TimedOut };
-        }
-        if let RequestEnd::Served(used) = end {
-            self.oracle.ended(id, used.0, self.now);
-        }
-        self.push(delay, Delivery::ToNode(at, incarnation, Event::Ended(id, end)));
-    }
-
-    fn run_on_target(&mut self, at: usize, id: RequestId, target: &str) -> RequestEnd {
-        let lost = self.random.random_range(0..100) < self.flaky;
-        if target == "desk" {
-            self.oracle.ran(id);
-            let cost = TokenCount(self.oracle.cost(id));
-            return if lost { RequestEnd::Lost } else { RequestEnd::Served(cost) };
-        }
-        let node = self.hosts[at].node.as_ref();
-        let model = node.and_then(|node| node.trace(id).map(|trace| trace.goal.clone()));
-        let model = model.unwrap_or_default().replace("model ", "");
-        let serves = self.targets.get_mut(target).is_some_and(|target| target.serves(&model));
-        if !serves {
-            return RequestEnd::Declined;
-        }
-        self.oracle.ran(id);
-        if lost {
-            RequestEnd::Lost
-        } else {
-            RequestEnd::Served(TokenCount(self.oracle.cost(id) / 2))
-        }
-    }
 }
 
 fn key_object() -> config::Object {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -3,19 +3,20 @@
 mod choose;
 mod estimate;
 mod reserve;
+mod setting;
 mod settle;
+mod target;
 
 use std::time::Duration;
 
-use base::{
-    ByteSize, DomainName, Fence, ModelName, OrderId, Revision, Seat, SortedMap, TargetName, Time,
-};
+use base::{DomainName, Fence, ModelName, OrderId, Revision, Seat, SortedMap, TargetName, Time};
 use config::Snapshot;
 
 use self::estimate::LoadTimes;
+pub use self::setting::PlaceConfig;
+use self::target::{HeardReport, TargetState};
 use crate::order::{Order, OrderKind, OrderMessage, OrderOutcome};
 use crate::plan::{CopyLedger, Phase, TargetPlan};
-use crate::policy::{IdlePolicy, KeepAlive};
 use crate::report::TargetReport;
 use crate::want::{Demand, ModelWant, WantAnswer};
 
@@ -24,80 +25,6 @@
 /// How long a demand counts after its last repetition.
 const WANT_SPAN: Duration = Duration::from_secs(2);
 
-/// Settings of a placer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PlaceConfig {
-    pub(crate) load_slots: usize,
-    pub(crate) adapter_slots: usize,
-    pub(crate) report_span: Duration,
-    pub(crate) unload_delay: Duration,
-    pub(crate) order_drain: Duration,
-    pub(crate) idle_policy: IdlePolicy,
-    pub(crate) reserve: usize,
-    pub(crate) domains: usize,
-}
-
-impl Default for PlaceConfig {
-    fn default() -> Self {
-        PlaceConfig {
-            load_slots: 4,
-            adapter_slots: 30,
-            report_span: Duration::from_secs(3),
-            unload_delay: Duration::from_millis(500),
-            order_drain: Duration::from_secs(120),
-            idle_policy: IdlePolicy::Fitted,
-            reserve: 0,
-            domains: 1,
-        }
-    }
-}
-
-impl PlaceConfig {
-    /// Sets how many models this failure domain loads at once.
-    pub fn load_slots(mut self, slots: usize) -> Self {
-        self.load_slots = slots.max(1);
-        self
-    }
-
-    /// Sets how many adapters this failure domain loads at once.
-    pub fn adapter_slots(mut self, slots: usize) -> Self {
-        self.adapter_slots = slots.max(1);
-        self
-    }
-
-    /// Sets for how long a target's report counts as current.
-    pub fn report_span(mut self, span: Duration) -> Self {
-        self.report_span = span;
-        self
-    }
-
-    /// Sets the time between taking a replica out of routing and ordering its unload.
-    pub fn unload_delay(mut self, delay: Duration) -> Self {
-        self.unload_delay = delay;
-        self
-    }
-
-    /// Sets how long after its issuer is proved gone an order may still arrive.
-    pub fn order_drain(mut self, drain: Duration) -> Self {
-        self.order_drain = drain;
-        self
-    }
-
-    /// Sets when idle replicas are unloaded.
-    pub fn idle_policy(mut self, policy: IdlePolicy) -> Self {
-        self.idle_policy = policy;
-        self
-    }
-
-    /// Sets how many replicas are decided ahead for outages of the key-value service, in a fleet
-    /// of so many failure domains.
-    pub fn reserve(mut self, replicas: usize, domains: usize) -> Self {
-        self.reserve = replicas;
-        self.domains = domains;
-        self
-    }
-}
-
 /// What the placer learns from its host about the rest of the system.
 #[derive(Clone, Debug, Default)]
 pub struct HostState {
@@ -174,13 +101,6 @@
     }
 }
 
-/// A report with the moments that bound it.
-#[derive(Clone, Debug)]
-struct HeardReport {
-    report: TargetReport,
-    asked_at: Time,
-}
-
 /// One load order that this seat sent or gave up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SendState {
@@ -189,29 +109,6 @@
     Disowned,
 }
 
-/// A target as the placer knows it.
-#[derive(Clone, Debug, Default)]
-struct TargetState {
-    /// Revision of the recorded plan; `None` until it is read.
-    revision: Option<Revision>,
-    reading: bool,
-    plan: TargetPlan,
-    writing: Option<PlaceWrite>,
-    heard: Option<HeardReport>,
-    /// Largest order number that the target acknowledged.
-    acked: OrderId,
-    /// Orders known to be resolved, and since when.
-    resolved: SortedMap<OrderId, Time>,
-    keep: SortedMap<ModelName, KeepAlive>,
-    /// When the replica was taken out of routing, and when its unload was last sent.
-    unloading: SortedMap<ModelName, (Time, Option<Time>)>,
-    /// When the load was last ordered, or the entry was first seen.
-    loading_since: SortedMap<ModelName, Time>,
-    asked_issuer_at: Option<Time>,
-    /// Whether the plan or the report changed since it was last settled.
-    dirty: bool,
-}
-
 /// A model's ledger as it was last read or written.
 #[derive(Clone, Debug)]
 struct KnownLedger {
@@ -583,109 +480,6 @@
     }
 }
 
-impl TargetState {
-    fn set_plan(&mut self, now: Time, plan: TargetPlan) {
-        for (model, replica) in plan.replicas.iter() {
-            self.keep.entry(model.clone(), || KeepAlive::new(now));
-            for order in replica.orders.iter().filter(|order| order.resolved) {
-                self.resolved.entry(order.id, || now);
-            }
-            match replica.phase {
-                Phase::Unloading => {
-                    self.loading_since.remove(model);
-                    self.unloading.entry(model.clone(), || (now, None));
-                }
-                Phase::Loading => {
-                    self.unloading.remove(model);
-                    let last = |plan: &TargetPlan| {
-                        plan.replicas.get(model).and_then(|r| r.orders.last()).map(|o| o.id)
-                    };
-                    if last(&self.plan) != last(&plan) {
-                        self.loading_since.insert(model.clone(), now);
-                    }
-                    self.loading_since.entry(model.clone(), || now);
-                }
-                Phase::Reserved | Phase::Loaded => {
-                    self.unloading.remove(model);
-                }
-            }
-        }
-        let known = |model: &ModelName| plan.replicas.contains(model);
-        self.keep.retain(|model, _| known(model));
-        self.unloading.retain(|model, _| known(model));
-        self.loading_since.retain(|model, _| known(model));
-        let orders: Vec<OrderId> =
-            plan.replicas.values().flat_map(|r| r.orders.iter().map(|o| o.id)).collect();
-        self.resolved.retain(|id, _| orders.contains(id));
-        self.plan = plan;
-        self.dirty = true;
-    }
-
-    fn note_use(&mut self, now: Time, report: &TargetReport) {
-        let former = self.heard.as_ref().map(|heard| &heard.report);
-        for replica in &report.replicas {
-            let before = former.and_then(|report| report.replica(&replica.model));
-            let served_before = before.map_or(0, |before| before.served);
-            if replica.running > 0 || replica.served != served_before {
-                if let Some(keep) = self.keep.get_mut(&replica.model) {
-                    keep.used(now);
-                }
-            }
-        }
-    }
-
-    /// Returns how long the loads took that a report is the first to show as ready, and the memory
-    /// of each.
-    fn finished_loads(&mut self, now: Time, report: &TargetReport) -> Vec<(Duration, ByteSize)> {
-        let plan = &self.plan;
-        let mut finished = Vec::new();
-        self.loading_since.retain(|model, since| {
-            let ready = report.replica(model).is_some_and(|replica| replica.ready);
-            let replica = plan.replicas.get(model).filter(|_| ready);
-            if let Some(replica) = replica {
-                finished.push((now.since(*since), replica.memory));
-            }
-            replica.is_none()
-        });
-        finished
-    }
-
-    /// Returns the next recorded load order that this seat has not sent yet.
-    fn next_load(
-        &self,
-        name: &TargetName,
-        seat: &Seat,
-        sends: &SortedMap<OrderId, SendState>,
-        snapshot: &Snapshot,
-    ) -> Option<(TargetName, OrderKind, OrderId, ModelName)> {
-        let loading = |phase| phase == Phase::Loading;
-        let replicas = self.plan.replicas.iter().filter(|(_, replica)| loading(replica.phase));
-        let mut unsent = replicas
-            .flat_map(|(model, replica)| replica.orders.iter().map(move |order| (model, order)));
-        let found = unsent.find(|(model, order)| {
-            order.issuer == *seat
-                && !order.resolved
-                && !sends.contains(&order.id)
-                && snapshot.servable(model).is_some()
-        });
-        found.map(|(model, order)| (name.clone(), OrderKind::Load, order.id, model.clone()))
-    }
-
-    fn next_unload(&self, now: Time, config: &PlaceConfig) -> Option<ModelName> {
-        let due = |since: Time, sent_at: Option<Time>| {
-            now.since(since) >= config.unload_delay
-                && sent_at.is_none_or(|at| now.since(at) > config.unload_delay * 2)
-        };
-        let heard = self.heard.as_ref()?;
-        let idle = |model: &ModelName| heard.report.replica(model).is_some_and(|r| r.running == 0);
-        let mut models = self.unloading.iter();
-        let found = models.find(|(model, (since, sent_at))| {
-            due(*since, *sent_at) && heard.asked_at > *since && idle(model)
-        });
-        found.map(|(model, _)| model.clone())
-    }
-}
-
 /// Returns the fencing number of the term in which an order was made.
 fn order_fence(id: OrderId) -> Fence {
     Fence(id.0 / ORDERS_PER_TERM)
