Settle a lost proposal that conflicts with a later change

Cause: a proposal whose answer was lost, and whose revision another change then took, could neither be planned nor proved absent, and asked the service again and again until its five seconds were over. Once another change holds the revision, the lost transaction can't take effect, so the proposal is judged anew; a change that the log already holds is answered from it. Ruled out: a pause between the calls, which would only make the loop slower.

--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -150,6 +150,15 @@
         if !read {
             return self.give_up(now, token, "the key-value service does not answer");
         }
+        let id = &proposal.draft.id;
+        if let Some(change) = self.tail.iter().find(|change| change.id == *id).cloned() {
+            let result = match proposal.uncertain {
+                true => ProposalResult::Accepted(change),
+                false => ProposalResult::Repeated(change.revision),
+            };
+            self.proposals.remove(&token);
+            return Some(ProposalStep::Done(result));
+        }
         match self.snapshot.plan(&proposal.draft) {
             Ok(change) => {
                 let op = StoreOp::Txn(record_txn(&change));
@@ -193,6 +202,7 @@
         token: u64,
         read: Option<Option<&KeyValue>>,
     ) -> Option<ProposalStep> {
+        let latest = self.snapshot.revision();
         let proposal = self.proposals.get_mut(&token)?;
         match read {
             Some(Some(entry)) => {
@@ -205,7 +215,13 @@
                 self.proposals.remove(&token);
                 Some(ProposalStep::Done(result))
             }
-            Some(None) if now < proposal.until => Some(ProposalStep::Call(self.catch_up())),
+            Some(None) if now < proposal.until => {
+                // Once another change holds the revision that the lost transaction was to make,
+                // that transaction can't take effect any more.
+                let taken = |change: &Change| change.revision <= latest;
+                proposal.uncertain &= !proposal.change.as_ref().is_some_and(taken);
+                Some(ProposalStep::Call(self.catch_up()))
+            }
             None if now < proposal.until => Some(ProposalStep::Call(self.resolve(token)?)),
             _ => self.give_up(now, token, "the change could not be recorded in time"),
         }
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -24,7 +24,6 @@
 
 pub use oracle::Oracle;
 use service::Service;
-pub use step::Step;
 use target::Target;
 
 pub const RATE: u64 = 100;
@@ -234,6 +233,18 @@
         self.handle(at, Event::Propose(self.next_change, draft));
     }
 
+    /// Proposes a change of the team at a host, if the team is at a revision.
+    pub fn propose_based(&mut self, at: usize, revision: u64) {
+        self.next_change += 1;
+        let team = serde_json::json!({"kind": "team", "name": "atelier", "rate": RATE,
+            "burst": BURST, "labels": format!("change={}", self.next_change)});
+        let item = DraftItem::put(serde_json::from_value(team).unwrap());
+        let items = vec![item.based_on(base::Revision(revision))];
+        let id: base::ChangeId = format!("change-{}", self.next_change).parse().unwrap();
+        let draft = Draft { id, actor: "fuzz".into(), wall_ms: 0, items };
+        self.handle(at, Event::Propose(self.next_change, draft));
+    }
+
     /// Describes the placement, for failure messages.
     pub fn describe(&self) -> String {
         let entries = self.service.range("/mangodeal/copies/", "/mangodeal/plan0");
--- a/crates/node/tests/fleet_cases.rs
+++ b/crates/node/tests/fleet_cases.rs
@@ -2,8 +2,9 @@
 
 mod fleet;
 
-use fleet::Step::*;
-use fleet::{Step, World};
+use fleet::step::Step;
+use fleet::step::Step::*;
+use fleet::World;
 
 fn replay(seed: u64, fencing: bool, steps: Vec<Step>) {
     let mut world = World::new(seed, fencing);
--- a/crates/node/tests/fleet_fuzz.rs
+++ b/crates/node/tests/fleet_fuzz.rs
@@ -2,8 +2,8 @@
 
 mod fleet;
 
-use fleet::step::HOSTS;
-use fleet::{Step, World};
+use fleet::step::{Step, HOSTS};
+use fleet::World;
 use proptest::prelude::*;
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 
