--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -9,6 +9,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+/// Shortest time between two reports for each target of the list, so that a placer reads at most
+/// 125 reports a second, however many targets its failure domain has.
+const SPAN_PER_TARGET: Duration = Duration::from_millis(8);
+
 /// Targets whose reports this daemon reads.
 pub(crate) type PollList = Vec<(TargetName, Name)>;
 
@@ -20,7 +24,10 @@
 ) {
     loop {
         let mut readers = JoinSet::new();
-        for (target, address) in list.borrow_and_update().clone() {
+        let targets = list.borrow_and_update().clone();
+        let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
+        let interval = interval.max(SPAN_PER_TARGET * count);
+        for (target, address) in targets {
             readers.spawn(poll_target(link.clone(), target, address, interval));
         }
         if list.changed().await.is_err() {
--- a/crates/mangodeal/src/capacity.rs
+++ b/crates/mangodeal/src/capacity.rs
@@ -37,6 +37,7 @@
     print_table("messages of an idle seat a second", "seats", "messages", &idle_messages());
     print_table("bytes of an idle seat a second", "seats", "bytes", &idle_bytes());
     print_table("bytes of a message on the wire", "payload", "bytes", &wire::message_bytes());
+    print_table("one report of a target", "replicas", "us", &wire::report_time());
     print_table("bytes for one wake, at a gateway", "replicas", "bytes", &wake_bytes());
     print_table("stored plan of a target", "replicas", "bytes", &plan_bytes());
     print_table("stored roster", "seats", "bytes", &roster_bytes());
--- a/crates/mangodeal/src/capacity/wire.rs
+++ b/crates/mangodeal/src/capacity/wire.rs
@@ -2,12 +2,13 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::Revision;
+use gate::TargetClient;
 use node::PeerMessage;
 use peer::PeerTransport;
-use standin::FaultProxy;
+use standin::{FaultProxy, TargetOptions, TargetServer};
 
 use super::measure::Row;
 use super::model;
@@ -26,6 +27,23 @@
     })
 }
 
+/// Returns the time of one report, by the number of replicas in it: two exchanges, both sides in
+/// this process, so that it bounds the processor time of the side that asks.
+pub(super) fn report_time() -> Vec<Row> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let target = TargetServer::start(TargetOptions::default()).await.expect("a free port");
+        let address: base::Name = target.address().to_string().parse().expect("an address");
+        let mut times = Vec::new();
+        for _ in 0..MESSAGES {
+            let started = Instant::now();
+            TargetClient.report(&address).await.expect("a report");
+            times.push(started.elapsed());
+        }
+        vec![Row::timed(0, times)]
+    })
+}
+
 async fn measure(message: PeerMessage) -> Row {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let to = listener.local_addr().expect("an address");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,7 +33,7 @@
 
 /// Longest time between two decisions of the placer. Reports don't cause one each: there are
 /// hundreds a second in a large failure domain.
-const PLACE_INTERVAL: Duration = Duration::from_millis(50);
+const PLACE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two rounds of pings.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -22,6 +22,9 @@
 
 /// Orders that one placer term can number.
 const ORDERS_PER_TERM: u64 = 1 << 24;
+/// Time for which a report counts as current, for each target of the failure domain; three times
+/// that in which a daemon reads one.
+const REPORT_SPAN_PER_TARGET: Duration = Duration::from_millis(24);
 /// How long a demand counts after its last repetition.
 const WANT_SPAN: Duration = Duration::from_secs(2);
 
@@ -360,7 +363,7 @@
         let mut residency = Vec::new();
         for (target, state) in self.targets.iter() {
             let Some(heard) = state.heard.as_ref() else { continue };
-            let fresh = now.since(heard.asked_at) <= self.config.report_span;
+            let fresh = now.since(heard.asked_at) <= self.report_span();
             if !fresh || host.leaving.binary_search(target).is_ok() {
                 continue;
             }
@@ -414,6 +417,13 @@
         }
     }
 
+    /// Returns for how long a report counts as current: in a large failure domain each target
+    /// reports more seldom.
+    fn report_span(&self) -> Duration {
+        let targets = u32::try_from(self.targets.len()).unwrap_or(u32::MAX);
+        self.config.report_span.max(REPORT_SPAN_PER_TARGET * targets)
+    }
+
     fn next_order(&mut self, fence: Fence) -> OrderId {
         self.orders_made += 1;
         OrderId(fence.0 * ORDERS_PER_TERM + self.orders_made)
--- a/crates/place/src/placer/choose.rs
+++ b/crates/place/src/placer/choose.rs
@@ -200,7 +200,7 @@
     fn reorder_target(&self, now: Time, model: &ModelName) -> Option<TargetName> {
         let found = self.targets.iter().find(|(_, state)| {
             let ready = state.revision.is_some() && state.writing.is_none();
-            ready && state.needs_order(model) && state.is_fresh(now, self.config.report_span)
+            ready && state.needs_order(model) && state.is_fresh(now, self.report_span())
         });
         found.map(|(name, _)| name.clone())
     }
@@ -225,7 +225,7 @@
         let usable = |target: &TargetObject, state: &TargetState| {
             state.revision.is_some()
                 && state.writing.is_none()
-                && state.is_fresh(now, self.config.report_span)
+                && state.is_fresh(now, self.report_span())
                 && host.leaving.binary_search(&target.name).is_err()
         };
         self.targets
