Keep a watcher's control traffic independent of its domain

Cause: every seat pinged the domain's watchers each second; at 57 seats that is 114 messages a second at a watcher, 37 KB/s by the measured 329 bytes each. The first four seats ping the watchers now, every other second; the others ping one seat in turn. Views' heartbeats go out every 30 s instead of 2 s, and a placer sends its view to a gateway that wants a model which is ready.

--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -9,9 +9,12 @@
 use crate::keys::roster_key;
 use crate::{HostEntry, HostRole, HostsReport, RosterDoc, SeatStatus, StoreTxn};
 
-/// Seats that are pinged in a round in turn, besides the watchers; a round takes a second. Their
-/// number does not depend on the fleet's size.
-const TURN_PINGS: usize = 1;
+/// Seats of a failure domain, in the order of their addresses, that ping the watchers in every
+/// other round: the watchers themselves and the next in line. All others ping one seat in turn, so
+/// that a watcher's traffic does not grow with its domain. A round takes a second.
+const STANDBYS: usize = WATCHERS + 2;
+/// Every so many rounds the seat in turn is one of another failure domain.
+const FAR_ROUNDS: usize = 4;
 /// Seats of a failure domain that watch the service and tell the others.
 const WATCHERS: usize = 2;
 /// How long a sign of life counts.
@@ -51,7 +54,9 @@
     total: Units,
     rosters: SortedMap<DomainName, (Revision, Roster)>,
     peers: SortedMap<Address, PeerState>,
-    next_ping: usize,
+    round: usize,
+    next_near: usize,
+    next_far: usize,
     giving: Option<Giving>,
     pub(crate) writing: bool,
     pub(crate) next_write: Time,
@@ -69,7 +74,9 @@
             total,
             rosters: SortedMap::default(),
             peers: SortedMap::default(),
-            next_ping: 0,
+            round: 0,
+            next_near: 0,
+            next_far: 0,
             giving: None,
             writing: false,
             next_write: Time::ZERO,
@@ -210,15 +217,25 @@
             || self.rosters.is_empty()
     }
 
-    /// Returns the seats to ping in this round: those that watch the service for this one, and
-    /// some others in turn.
+    /// Returns the seats to ping in this round.
     pub(crate) fn ping_round(&mut self, now: Time) -> Vec<Seat> {
-        let mut round: Vec<Seat> = self.near().into_iter().take(WATCHERS).collect();
+        self.round += 1;
+        let near = self.near();
         let others = self.others(now);
-        let others: Vec<Seat> = others.into_iter().filter(|seat| !round.contains(seat)).collect();
-        round.extend(in_turn(&others, &mut self.next_ping, TURN_PINGS));
-        round.sort();
-        round.dedup();
+        let far = &others[near.len().min(others.len())..];
+        let mut round = if self.round.is_multiple_of(FAR_ROUNDS) || near.is_empty() {
+            in_turn(far, &mut self.next_far)
+        } else {
+            in_turn(&near, &mut self.next_near)
+        };
+        let rank = self
+            .own_roster()
+            .and_then(|(_, roster)| roster.iter().position(|seat| seat == self.own));
+        if rank.is_none_or(|rank| rank < STANDBYS) && self.round.is_multiple_of(2) {
+            round.extend(near.into_iter().take(WATCHERS));
+            round.sort();
+            round.dedup();
+        }
         round
     }
 
@@ -338,10 +355,9 @@
     }
 }
 
-/// Returns up to `count` of the seats, each time the next ones.
-fn in_turn(seats: &[Seat], next: &mut usize, count: usize) -> Vec<Seat> {
-    let count = seats.len().min(count);
-    let start = *next;
-    *next = (start + count) % seats.len().max(1);
-    (0..count).map(|offset| seats[(start + offset) % seats.len()].clone()).collect()
+/// Returns one of the seats, each time the next one.
+fn in_turn(seats: &[Seat], next: &mut usize) -> Vec<Seat> {
+    let at = *next % seats.len().max(1);
+    *next = at + 1;
+    seats.get(at).cloned().into_iter().collect()
 }
--- a/crates/node/src/node/peers.rs
+++ b/crates/node/src/node/peers.rs
@@ -69,6 +69,9 @@
             PeerMessage::Want(want) => {
                 self.place_soon = true;
                 self.placer.want(now, &want);
+                if !want.extra {
+                    self.remind(&from, &want.model);
+                }
             }
             PeerMessage::WantAnswer(answer) => self.want_answered(now, &answer),
             PeerMessage::View(view) => {
@@ -225,6 +228,19 @@
         }
     }
 
+    /// Sends this placer's whole view to a gateway that wants a model which is ready in it: the
+    /// gateway missed a change.
+    fn remind(&mut self, gateway: &Seat, model: &base::ModelName) {
+        let own = self.views.iter().find(|view| view.domain == self.config.domain);
+        let ready = |view: &&crate::DomainView| {
+            view.replicas.iter().any(|replica| replica.model == *model && replica.ready)
+        };
+        let view = own.filter(ready).filter(|_| self.placer.fence().is_some()).cloned();
+        if let Some(view) = view {
+            self.send(&gateway.address, PeerMessage::View(view));
+        }
+    }
+
     /// Tells a new peer where replicas are.
     fn greet(&mut self, peer: &Seat) {
         for view in self.views.iter().cloned().collect::<Vec<_>>() {
--- a/crates/node/src/node/placing.rs
+++ b/crates/node/src/node/placing.rs
@@ -15,9 +15,10 @@
     TxnOutcome, ViewDelta,
 };
 
-/// Shortest time between two views with changes, and longest between any two.
+/// Shortest time between two views with changes, and longest between any two. The latter only
+/// repairs what was lost unnoticed; a gateway that wants a model which is ready is told at once.
 const VIEW_MIN: Duration = Duration::from_millis(50);
-const VIEW_MAX: Duration = Duration::from_secs(2);
+const VIEW_MAX: Duration = Duration::from_secs(30);
 
 impl Node {
     /// Returns whether this seat is the placer and its lease surely holds.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -5,7 +5,7 @@
 use crate::{DomainView, ViewDelta};
 
 /// A view that is older than this does not keep another failure domain from loading.
-const VIEW_SPAN: std::time::Duration = std::time::Duration::from_secs(7);
+const VIEW_SPAN: std::time::Duration = std::time::Duration::from_secs(75);
 
 /// What became of a view's change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
