--- a/crates/config/tests/object_forms.rs
+++ b/crates/config/tests/object_forms.rs
@@ -106,3 +106,10 @@
         }
     }
 }
+
+#[test]
+fn example_file() {
+    let text = include_str!("../../../examples/fleet.json");
+    let objects: Vec<Value> = serde_json::from_str(text).unwrap();
+    assert!(Snapshot::default().plan(&draft(&objects)).is_ok());
+}
--- a/crates/daemon/tests/settings_check.rs
+++ b/crates/daemon/tests/settings_check.rs
@@ -77,3 +77,10 @@
         let _ = Settings::parse("x", &format!("{}{text}{}", &VALID[..at], &VALID[at..]));
     }
 }
+
+#[test]
+fn example_file() {
+    let text = include_str!("../../../examples/mangodeald.ini");
+    let settings = Settings::parse("mangodeald.ini", text).unwrap();
+    assert_eq!(settings.operators.len(), 1);
+}
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -114,7 +114,8 @@
             let gate = self.clone();
             let service = service_fn(move |request| {
                 let gate = gate.clone();
-                async move { Ok::<_, Infallible>(gate.handle(request).await) }
+                // Boxed, so that its state is freed when the answer begins: a stream outlives it.
+                Box::pin(async move { Ok::<_, Infallible>(gate.handle(request).await) })
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
