--- a/crates/mangodeal/src/bench/fleet.rs
+++ b/crates/mangodeal/src/bench/fleet.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 use standin::{HostServer, KeyValueServer, TargetOptions, TargetServer};
 
-use crate::client::HttpCall;
+use crate::client::{change_draft, HttpCall};
 use crate::demo::DemoError;
 
 const CREDENTIAL: &str = "bench-operator";
@@ -81,13 +81,7 @@
         .await?;
         let mut revision = 0;
         for (number, chunk) in objects.chunks(CHANGE_SIZE).enumerate() {
-            let item = |object: &Value| {
-                let key = json!({"kind": object["kind"], "name": object["name"]});
-                json!({"key": key, "object": object})
-            };
-            let items: Vec<Value> = chunk.iter().map(item).collect();
-            let draft =
-                json!({"id": format!("bench-{number}"), "actor": "", "wall_ms": 0, "items": items});
+            let draft = change_draft(&format!("bench-{number}"), chunk);
             let call = HttpCall::post(operator, "/v1/changes", draft.to_string());
             let answer = call.bearer(CREDENTIAL).send().await?.json().await?;
             let accepted = answer["revision"].as_u64();
--- a/crates/mangodeal/src/client.rs
+++ b/crates/mangodeal/src/client.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde_json::{json, Value};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -185,3 +186,22 @@
         self.driver.abort();
     }
 }
+
+/// Returns the body of a change that writes `objects`, as operators send it.
+///
+/// # Example
+///
+/// ```
+/// use serde_json::json;
+/// let model = json!({"kind": "model", "name": "lace", "memory": 60});
+/// let draft = mangodeal::client::change_draft("change-1", &[model]);
+/// assert_eq!(draft["items"][0]["key"], json!({"kind": "model", "name": "lace"}));
+/// ```
+pub fn change_draft(id: &str, objects: &[Value]) -> Value {
+    let item = |object: &Value| {
+        let key = json!({"kind": object["kind"], "name": object["name"]});
+        json!({"key": key, "object": object})
+    };
+    let items: Vec<Value> = objects.iter().map(item).collect();
+    json!({"id": id, "actor": "", "wall_ms": 0, "items": items})
+}
--- a/crates/mangodeal/src/command/operate.rs
+++ b/crates/mangodeal/src/command/operate.rs
@@ -11,7 +11,7 @@
 
 use super::table::{cell, print, print_fields};
 use super::{Command, CommandError, Explained, Output, ServerArguments};
-use crate::client::{HttpAnswer, HttpCall};
+use crate::client::{change_draft, HttpAnswer, HttpCall};
 
 /// Pause between two questions of a command that waits.
 const WAIT_PAUSE: Duration = Duration::from_millis(200);
@@ -238,21 +238,19 @@
 
 /// Returns a draft of writes. Objects may stand alone or, as `get` prints them, with a revision.
 fn draft(objects: &[Value], strict: bool, change: Option<String>) -> Value {
-    let items: Vec<Value> = objects
-        .iter()
-        .map(|entry| {
-            let versioned = entry["object"].is_object();
-            let object = if versioned { &entry["object"] } else { entry };
-            let key = json!({"kind": object["kind"], "name": object["name"]});
-            let mut item = json!({"key": key, "object": object});
-            if strict && versioned {
-                item["based_on"] = entry["revision"].clone();
-            }
-            item
-        })
-        .collect();
     let id = change.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
-    json!({"id": id, "actor": "", "wall_ms": 0, "items": items})
+    let versioned = |entry: &&Value| entry["object"].is_object();
+    let plain = |entry: &Value| match versioned(&entry) {
+        true => entry["object"].clone(),
+        false => entry.clone(),
+    };
+    let mut draft = change_draft(&id, &objects.iter().map(plain).collect::<Vec<_>>());
+    if strict {
+        for (at, entry) in objects.iter().enumerate().filter(|(_, entry)| versioned(entry)) {
+            draft["items"][at]["based_on"] = entry["revision"].clone();
+        }
+    }
+    draft
 }
 
 fn differences(name: &str, current: &Value, wanted: &Value) -> Vec<Vec<String>> {
--- a/crates/mangodeal/src/demo.rs
+++ b/crates/mangodeal/src/demo.rs
@@ -12,7 +12,7 @@
 use serde_json::{json, Value};
 use standin::{HostServer, KeyValueServer, TargetOptions, TargetServer, WeightStore};
 
-use crate::client::{CallError, HttpAnswer, HttpCall};
+use crate::client::{change_draft, CallError, HttpAnswer, HttpCall};
 
 const CREDENTIAL: &str = "demo-operator";
 const DOMAINS: [&str; 2] = ["east", "west"];
@@ -131,14 +131,7 @@
             "address": target.address().to_string(), "domain": domain, "memory": 100,
             "fencing": true}));
     }
-    let items: Vec<Value> = objects
-        .iter()
-        .map(|object| {
-            let key = json!({"kind": object["kind"], "name": object["name"]});
-            json!({"key": key, "object": object})
-        })
-        .collect();
-    let draft = json!({"id": "demo", "actor": "", "wall_ms": 0, "items": items});
+    let draft = change_draft("demo", &objects);
     let call = HttpCall::post(operator, "/v1/changes", draft.to_string()).bearer(CREDENTIAL);
     let change = expect(call.send().await?, 200).await?;
     change["revision"].as_u64().ok_or_else(|| DemoError::Unexpected(change.to_string()))
--- a/crates/mangodeal/tests/common/mod.rs
+++ b/crates/mangodeal/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use base::SecretKey;
 use hyper::Method;
-use mangodeal::client::{HttpAnswer, HttpCall};
+use mangodeal::client::{change_draft, HttpAnswer, HttpCall};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use standin::{FaultProxy, HostServer, KeyValueServer, TargetOptions, TargetServer, WeightStore};
@@ -295,14 +295,7 @@
 
     /// Proposes a change at one daemon.
     pub async fn change(&self, at: usize, objects: &[Value], id: &str) -> (u16, Value) {
-        let items: Vec<Value> = objects
-            .iter()
-            .map(|object| {
-                let key = json!({"kind": object["kind"], "name": object["name"]});
-                json!({"key": key, "object": object})
-            })
-            .collect();
-        let draft = json!({"id": id, "actor": "", "wall_ms": 0, "items": items});
+        let draft = change_draft(id, objects);
         let call = HttpCall::post(self.daemons[at].operator, "/v1/changes", draft.to_string());
         answer_json(call.bearer(CREDENTIAL).send().await.unwrap()).await
     }
