Use a former placer's reserve for the model that it was made for

Cause: after a placer's death its reserved replica was neither its successor's to promote nor a load that failed to appear, so a request for that very model waited until order_drain was over. Before: former_reserve found the model not loaded after 0.9 s; after: loaded. Its copy and memory are counted already, so the successor adds an order of its own to the entry. Besides, by reading and not by a failing test: a daemon that does not watch asks the placer that its views name, not one that was recorded when it last watched; and whole views are passed on within a domain as changes are.

--- a/crates/node/src/node/peers.rs
+++ b/crates/node/src/node/peers.rs
@@ -75,9 +75,11 @@
             }
             PeerMessage::WantAnswer(answer) => self.want_answered(now, &answer),
             PeerMessage::View(view) => {
-                let loads = view.loads.clone();
-                if self.views.take(now, view, Some(from.address)) {
-                    self.take_loads(&loads);
+                if self.views.take(now, view.clone(), Some(from.address.clone())) {
+                    self.take_loads(&view.loads);
+                    if !self.members.is_near(&from.address) {
+                        self.spread(0, Some(&from), &PeerMessage::View(view));
+                    }
                 }
             }
             PeerMessage::ViewDelta(delta) => self.take_delta(now, &from, delta),
--- a/crates/node/src/node/wants.rs
+++ b/crates/node/src/node/wants.rs
@@ -76,8 +76,10 @@
         }
         for domain in domains {
             let recorded = self.placers.get(&domain).map(|placer| &placer.seat.address);
-            // A daemon that started during an outage knows placers by their views only.
-            let Some(address) = recorded.or(self.views.placer(&domain)).cloned() else { continue };
+            // Who does not watch the service, or can't, knows the present placer by its views.
+            let told = self.views.placer(&domain);
+            let known = if self.watching { recorded.or(told) } else { told.or(recorded) };
+            let Some(address) = known.cloned() else { continue };
             if address == self.config.seat.address {
                 self.next_place = now;
                 self.placer.want(now, want);
--- a/crates/node/tests/fleet_cases.rs
+++ b/crates/node/tests/fleet_cases.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use fleet::step::Step;
 use fleet::step::Step::*;
 use fleet::World;
@@ -110,3 +112,26 @@
     ];
     replay(2871910468315135112, false, steps);
 }
+
+/// A model that a former placer had reserved is wanted, at a host that leaves watching to others.
+#[test]
+fn former_reserve() {
+    let is_placer = |world: &World, at: usize| {
+        world.hosts[at].node.as_ref().is_some_and(|node| node.is_placer(world.now))
+    };
+    // Whoever claims first is the placer; a run is needed in which the third host is not.
+    let mut worlds = (0..40).map(|seed| World::new(seed, true));
+    let mut world = worlds.find(|world| !is_placer(world, 2)).expect("a run with a watcher");
+    let placer = (0..2).find(|at| is_placer(&world, *at)).expect("a watcher is the placer");
+    // The first two hosts watch, so the third does not.
+    world.kill(placer);
+    world.advance(Duration::from_secs(8));
+    assert!(is_placer(&world, 1 - placer) || is_placer(&world, 2), "nobody took over");
+    world.start(placer);
+    world.advance(Duration::from_secs(8));
+    // Demands go to other failure domains after a second; this one must be met in its own.
+    world.request(2, 1, 1, Duration::from_secs(5));
+    world.advance(Duration::from_millis(900));
+    let held = world.targets["helper-east"].holds(fleet::MODELS[1]);
+    assert!(held, "the demand was not met\n{}", world.describe());
+}
--- a/crates/place/src/placer/choose.rs
+++ b/crates/place/src/placer/choose.rs
@@ -356,7 +356,9 @@
             Phase::Unloading => {
                 self.unloading.get(model).is_some_and(|(since, _)| after(since, REORDER_AFTER))
             }
-            Phase::Reserved | Phase::Loaded => false,
+            // A former placer's reserve: its order may still arrive, and loads the same model.
+            Phase::Reserved => true,
+            Phase::Loaded => false,
         };
         overdue && heard.report.replica(model).is_none()
     }
