Confirm an outage at today's size, and say where it can't be

Cause: pinging one seat in turn, which keeps traffic flat at 910 daemons, needs 16 to 20 s to reach every seat of six, and a confirmation counts for 6 s. So a full outage was never confirmed and keys went stale after key_grace. The test had two daemons and did not see it; it has six in three domains now. While the service does not answer, a daemon pings up to 16 other seats each round; the docs say that larger fleets trust keys for key_grace only. Ruled out: a longer life of the confirmation, which would loosen the promise.

--- a/crates/mangodeal/tests/key_withdrawal.rs
+++ b/crates/mangodeal/tests/key_withdrawal.rs
@@ -84,7 +84,13 @@
 fn outage_of_all() {
     run(async {
         let extra_settings = "[requests]\nkey_grace = 5s\n".to_owned();
-        let fleet = Fleet::start(Options { extra_settings, ..Options::default() }).await;
+        let fleet = Fleet::start(Options {
+            domains: vec!["east", "north", "west"],
+            daemons_each: 2,
+            extra_settings,
+            ..Options::default()
+        })
+        .await;
         fleet.warm(0, "lace").await;
         fleet.service.set_down(true);
         // No seat reaches the service, so no change can have been accepted: keys stay good.
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -13,6 +13,9 @@
 /// other round: the watchers themselves and the next in line. All others ping one seat in turn, so
 /// that a watcher's traffic does not grow with its domain. A round takes a second.
 const STANDBYS: usize = WATCHERS + 2;
+/// Most other seats that are all pinged in each round of an outage, to confirm that none reaches
+/// the service. In a larger fleet an outage can't be confirmed in time.
+const OUTAGE_PINGS: usize = 16;
 /// Every so many rounds the seat in turn is one of another failure domain.
 const FAR_ROUNDS: usize = 4;
 /// Seats of a failure domain that watch the service and tell the others.
@@ -218,10 +221,13 @@
     }
 
     /// Returns the seats to ping in this round.
-    pub(crate) fn ping_round(&mut self, now: Time) -> Vec<Seat> {
+    pub(crate) fn ping_round(&mut self, now: Time, service_up: bool) -> Vec<Seat> {
         self.round += 1;
         let near = self.near();
         let others = self.others(now);
+        if !service_up && others.len() <= OUTAGE_PINGS {
+            return others;
+        }
         let far = &others[near.len().min(others.len())..];
         let mut round = if self.round.is_multiple_of(FAR_ROUNDS) || near.is_empty() {
             in_turn(far, &mut self.next_far)
--- a/crates/node/src/node/peers.rs
+++ b/crates/node/src/node/peers.rs
@@ -208,7 +208,7 @@
 
     pub(super) fn ping_peers(&mut self, now: Time) {
         self.pings.retain(|_, asked_at| now.since(*asked_at) < PING_TIMEOUT);
-        let round = self.members.ping_round(now);
+        let round = self.members.ping_round(now, self.service_up);
         self.ping_seats(now, round.into_iter());
     }
 
@@ -224,7 +224,7 @@
     }
 
     pub(super) fn ask_for_config(&mut self, now: Time) {
-        for seat in self.members.ping_round(now) {
+        for seat in self.members.ping_round(now, self.service_up) {
             let from = base::Revision(1);
             self.send(&seat.address, PeerMessage::NeedChanges { from });
         }
