Log how loads end, and which models wait for one and where their weights are

The log told what the leader planned, but not what it left and why, so that a full weight store and a plan that looks at too few models looked alike. load_ended: one line a load. load_backlog: at most one line a second.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -14,7 +14,7 @@
 use crate::config::{LeadConfig, LeadTerm};
 use crate::copies::CopyMemory;
 use crate::demand::DemandTable;
-use crate::ledger::TargetLedger;
+use crate::ledger::{LoadGoal, TargetLedger};
 use crate::pool::{SeatRoster, SeatTable, TokenPool};
 use crate::relay::ChangeLog;
 use crate::window::LoadWindow;
@@ -53,6 +53,49 @@
     pub wanted: usize,
 }
 
+/// A load that ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadEnd {
+    /// Model.
+    pub model: ModelName,
+    /// Target.
+    pub target: TargetName,
+    /// Whether the weights came from the weight store.
+    pub from_store: bool,
+    /// Whether the target holds the model now; otherwise the load was given up.
+    pub is_held: bool,
+    /// Time since it was decided.
+    pub took: Duration,
+}
+
+/// Models that lack a copy, and why no load of them was decided in a plan.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadBacklog {
+    /// Models in use or asked for that lack a copy and have no load.
+    pub models: usize,
+    /// Requests that wait for them.
+    pub waiting: u32,
+    /// Of the models, those on the disk of a target that has nothing to do.
+    pub on_idle_disk: usize,
+    /// Of the models, those on the disks of targets that are busy only.
+    pub on_busy_disk: usize,
+    /// Loads from the weight store that are under way.
+    pub store_loads: usize,
+    /// Of those, further copies of models that are served already.
+    pub store_growth: usize,
+}
+
+/// What a leader decided or saw of loads, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeadNote {
+    /// A load was decided.
+    Planned(LoadNote),
+    /// A load ended.
+    Ended(LoadEnd),
+    /// Models are left without a load.
+    Backlog(LoadBacklog),
+}
+
 /// Where a wanted adapter is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdapterState {
@@ -86,7 +129,9 @@
     queue: Vec<ModelName>,
     /// When loads were planned last.
     planned_at: Option<Time>,
-    notes: Vec<LoadNote>,
+    /// When the backlog was noted last.
+    backlog_at: Option<Time>,
+    notes: Vec<LeadNote>,
 }
 
 impl Lead {
@@ -107,6 +152,7 @@
             pools: SortedMap::default(),
             changes: ChangeLog::default(),
             planned_at: None,
+            backlog_at: None,
             notes: Vec::new(),
         }
     }
@@ -276,8 +322,8 @@
         actions
     }
 
-    /// Returns the loads that were decided since the last call.
-    pub fn take_notes(&mut self) -> Vec<LoadNote> {
+    /// Returns what was decided and seen of loads since the last call.
+    pub fn take_notes(&mut self) -> Vec<LeadNote> {
         std::mem::take(&mut self.notes)
     }
 
@@ -300,8 +346,24 @@
         report: Option<&EngineReport>,
     ) {
         if let Some(ledger) = self.targets.get_mut(target) {
+            let goal = ledger.goal.clone();
             ledger.reported(now, asked_at, report);
             self.copies.seen(now, ledger.entry.address, ledger.models());
+            self.note_end(now, target, goal);
+        }
+    }
+
+    /// Notes the end of a load that was under way before the target's state changed.
+    fn note_end(&mut self, now: Time, target: &TargetName, before: Option<LoadGoal>) {
+        let Some((goal, ledger)) = before.zip(self.targets.get(target)) else { return };
+        if ledger.goal.as_ref().is_none_or(|current| current.model != goal.model) {
+            self.notes.push(LeadNote::Ended(LoadEnd {
+                is_held: ledger.holds(&goal.model),
+                took: now.since(goal.decided_at),
+                model: goal.model,
+                target: target.clone(),
+                from_store: goal.from_store,
+            }));
         }
     }
 
@@ -309,11 +371,13 @@
     /// given orders with a higher fencing number.
     pub fn answered(&mut self, now: Time, order: &EngineOrder, reply: OrderReply) -> bool {
         if let Some(ledger) = self.targets.get_mut(&order.target) {
+            let goal = ledger.goal.clone();
             ledger.answered(now, reply);
             if order.kind == OrderKind::Unload && order.subject.adapter.is_none() {
                 // A model that was unloaded is not wanted back by what was told before.
                 ledger.news.retain(|(model, held, _)| !(*held && *model == order.subject.model));
             }
+            self.note_end(now, &order.target, goal);
         }
         reply != OrderReply::Fenced
     }
--- a/crates/lead/src/lead/plan.rs
+++ b/crates/lead/src/lead/plan.rs
@@ -5,7 +5,7 @@
 use base::{ModelName, SortedMap, TargetName, Time};
 use fleet::{EngineModel, EngineShape, ModelOutlook};
 
-use super::{Lead, LoadNote, KNOWN_ARRIVALS};
+use super::{Lead, LeadNote, LoadBacklog, LoadNote, KNOWN_ARRIVALS};
 use crate::ledger::{LoadGoal, TargetLedger, UNLOAD_SPAN};
 
 /// Pause between taking a replica in demand out of use and its unload, so that daemons learn of
@@ -25,6 +25,8 @@
 const UNSHARED: f64 = 0.7;
 /// Time between two plans of loads, for each twenty targets.
 const PLAN_PAUSE: Duration = Duration::from_millis(20);
+/// Least pause between two notes of the models that have no load.
+const BACKLOG_PAUSE: Duration = Duration::from_millis(1_000);
 /// Models that one plan looks for a place for.
 const MAX_CANDIDATES: usize = 12;
 /// Demand by which copies are kept, as a factor on the demand by which they are loaded.
@@ -210,6 +212,38 @@
             }
             self.plan_load(now, &candidate, &mut counts);
         }
+        self.note_backlog(now);
+    }
+
+    /// Notes which models in the queue have no load, and where their weights are.
+    fn note_backlog(&mut self, now: Time) {
+        if self.backlog_at.is_some_and(|at| now.since(at) < BACKLOG_PAUSE) {
+            return;
+        }
+        let mut backlog = LoadBacklog { store_loads: self.store_loads(), ..LoadBacklog::default() };
+        let goals = || self.targets.values().filter_map(|ledger| ledger.goal.as_ref());
+        backlog.store_growth = goals().filter(|goal| goal.from_store && goal.grows).count();
+        for model in &self.queue {
+            if goals().any(|goal| goal.model == *model) {
+                continue;
+            }
+            backlog.models += 1;
+            backlog.waiting += self.demand.waiting(now, model);
+            let Some((shape, description)) = self.model(model) else { continue };
+            let places = disk_places(shape, description);
+            let holders = self.targets.values().filter(|ledger| {
+                ledger.is_ready() && self.copies.has(ledger.entry.address, model, places)
+            });
+            match holders.map(TargetLedger::is_idle).max() {
+                Some(true) => backlog.on_idle_disk += 1,
+                Some(false) => backlog.on_busy_disk += 1,
+                None => {}
+            }
+        }
+        if backlog.models > 0 {
+            self.backlog_at = Some(now);
+            self.notes.push(LeadNote::Backlog(backlog));
+        }
     }
 
     fn plan_load(
@@ -281,7 +315,7 @@
         if let Some(count) = counts.get_mut(model) {
             count.loading += 1;
         }
-        self.notes.push(LoadNote {
+        self.notes.push(LeadNote::Planned(LoadNote {
             model: model.clone(),
             target: name.clone(),
             victim: victim.clone(),
@@ -289,7 +323,7 @@
             waiting: self.demand.waiting(now, model),
             rate: self.demand.rate(now, model),
             wanted: counts.get(model).map_or(0, |count| count.wanted),
-        });
+        }));
         let victim_rate = victim.as_ref().map_or(0.0, |victim| self.demand.rate(now, victim));
         let Some(ledger) = self.targets.get_mut(&name) else { return };
         if let Some(victim) = victim {
@@ -311,6 +345,7 @@
             least,
             from_store: !on_disk,
             grows,
+            decided_at: now,
             ready_at,
         });
     }
--- a/crates/lead/src/ledger.rs
+++ b/crates/lead/src/ledger.rs
@@ -54,6 +54,7 @@
     pub(crate) from_store: bool,
     /// Whether other targets hold the model.
     pub(crate) grows: bool,
+    pub(crate) decided_at: Time,
     /// When the load is expected to be complete.
     pub(crate) ready_at: Time,
 }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -41,7 +41,7 @@
 
 pub use config::{LeadConfig, LeadTerm};
 pub use copies::CopyMemory;
-pub use lead::{AdapterState, Lead, LeadAction, LoadNote};
+pub use lead::{AdapterState, Lead, LeadAction, LeadNote, LoadBacklog, LoadEnd, LoadNote};
 pub use ledger::TargetLedger;
 pub use pool::{SeatRoster, SeatTable, TokenPool};
 pub use relay::{ChangeLog, RelayView};
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -7,7 +7,7 @@
 use base::TargetName;
 use daemon::boot_time;
 use fleet::{EngineOrder, OrderReply, TargetEntry};
-use lead::{Lead, LeadAction};
+use lead::{Lead, LeadAction, LeadNote};
 use platform::engine::{instance_header, order_call, order_reply, report_call, report_reply};
 
 use crate::exchange::IDLE_LIMIT;
@@ -41,7 +41,7 @@
         let (actions, next) = match host.leading.borrow_mut().as_mut() {
             Some(leading) => {
                 let actions = leading.lead.plan(now);
-                leading.lead.take_notes().into_iter().for_each(note_load);
+                leading.lead.take_notes().into_iter().for_each(note_lead);
                 (actions, leading.lead.plan_at(now))
             }
             None => (Vec::new(), None),
@@ -58,16 +58,33 @@
     }
 }
 
-fn note_load(note: lead::LoadNote) {
-    Line::new("load_planned")
-        .text("model", &note.model)
-        .text("target", &note.target)
-        .with("victim", note.victim.map(|victim| victim.to_string()))
-        .with("from_store", note.from_store)
-        .with("waiting", note.waiting)
-        .with("rate", note.rate)
-        .with("wanted", note.wanted)
-        .info();
+fn note_lead(note: LeadNote) {
+    match note {
+        LeadNote::Planned(load) => Line::new("load_planned")
+            .text("model", &load.model)
+            .text("target", &load.target)
+            .with("victim", load.victim.map(|victim| victim.to_string()))
+            .with("from_store", load.from_store)
+            .with("waiting", load.waiting)
+            .with("rate", load.rate)
+            .with("wanted", load.wanted)
+            .info(),
+        LeadNote::Ended(load) => Line::new("load_ended")
+            .text("model", &load.model)
+            .text("target", &load.target)
+            .with("from_store", load.from_store)
+            .with("held", load.is_held)
+            .with("took_ms", u64::try_from(load.took.as_millis()).unwrap_or(u64::MAX))
+            .info(),
+        LeadNote::Backlog(backlog) => Line::new("load_backlog")
+            .with("models", backlog.models)
+            .with("waiting", backlog.waiting)
+            .with("on_idle_disk", backlog.on_idle_disk)
+            .with("on_busy_disk", backlog.on_busy_disk)
+            .with("store_loads", backlog.store_loads)
+            .with("store_growth", backlog.store_growth)
+            .info(),
+    }
 }
 
 async fn carry_out(host: Rc<Host>, action: LeadAction) {
