--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -47,7 +47,11 @@
 }
 
 pub fn layout() -> Arc<FleetLayout> {
-    let shape = |name: &&str| EngineModel {
+    layout_of(&MODELS)
+}
+
+pub fn layout_of<T: AsRef<str>>(models: &[T]) -> Arc<FleetLayout> {
+    let shape = |name: &str| EngineModel {
         name: model(name),
         weight_mb: 100.0,
         adapter_mb: 1.0,
@@ -63,7 +67,10 @@
         loads_per_second: 3.0,
         host_mb: 200.0,
         disk_mb: 800.0,
-        models: MODELS.iter().map(|n| (model(n), shape(n))).collect::<SortedMap<_, _>>(),
+        models: models
+            .iter()
+            .map(|n| (model(n.as_ref()), shape(n.as_ref())))
+            .collect::<SortedMap<_, _>>(),
     };
     let service = ServiceEntry {
         name: "engines".parse().unwrap(),
@@ -75,9 +82,13 @@
 
 /// Returns a leader that knows the state of all its targets.
 pub fn lead(targets: &[(&str, &[&str])]) -> Lead {
+    lead_of(layout(), targets)
+}
+
+pub fn lead_of(layout: Arc<FleetLayout>, targets: &[(&str, &[&str])]) -> Lead {
     let term = LeadTerm { fence: 41, orders_from: Time::ZERO, until: TERM_END, is_first: true };
     let mut lead = Lead::new(LeadConfig::new("host-1".parse().unwrap()), term);
-    lead.layout_changed(Time::ZERO, layout());
+    lead.layout_changed(Time::ZERO, layout);
     let entries: Vec<TargetEntry> = targets.iter().map(|(name, m)| entry(name, m)).collect();
     lead.targets_listed(Time::ZERO, &entries);
     lead.plan(Time::ZERO);
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -45,6 +45,11 @@
 
     /// The same with other models that can be loaded.
     pub async fn start_with(daemons: usize, models: &[&str]) -> PlatformFleet {
+        PlatformFleet::start_stored(daemons, models, &[]).await
+    }
+
+    /// The same, where the second engine has some models on its disk.
+    pub async fn start_stored(daemons: usize, models: &[&str], copies: &[&str]) -> PlatformFleet {
         let store = StandinStore::start().await;
         let name = format!("mangodeal-platform-{}-{}", std::process::id(), free_port());
         let directory = std::env::temp_dir().join(name);
@@ -59,6 +64,7 @@
         ] {
             fleet.servers.push(StandinServer::start(id, service, "east", models).await);
         }
+        fleet.server("engine-2").set_copies(copies);
         fleet.store.put("op/config", &config(3, models));
         fleet.beat();
         for number in 0..daemons {
--- a/crates/mangodeal/tests/platform_path.rs
+++ b/crates/mangodeal/tests/platform_path.rs
@@ -77,6 +77,22 @@
     });
 }
 
+/// Guards against models that are never served though an engine has their weights on its disk: what
+/// engines tell of their disks spares the load from the weight store.
+#[test]
+fn told_copies() {
+    run(async {
+        let models = ["a", "b", "c"];
+        let fleet = PlatformFleet::start_stored(1, &models, &["a", "c"]).await;
+        let answer = model_request(fleet.fronts[0].caller, "c1", "c").send().await.unwrap();
+        assert_eq!(answer.status, 200);
+        let log = fleet.fronts[0].log();
+        let planned: Vec<_> = log.iter().filter(|l| l["event"] == "load_planned").collect();
+        assert_eq!(planned.len(), 1, "{planned:?}");
+        assert_eq!((&planned[0]["model"], &planned[0]["from_store"]), (&"c".into(), &false.into()));
+    });
+}
+
 /// What may run once is sent once, and a refusal that says "not run" is true.
 #[test]
 fn run_once() {
