Take what engines tell of the weights that they have at hand

Cause: an engine's entry and report tell the models whose weights are in its host's memory and on its disk. The adapter dropped that, since the fields' names speak of counts; the leader took only what it had seen an engine hold for being on its disk.

Ruled out: that the weight store alone binds.

The leader goes by an engine's word, by a report before an older entry, and by what it has seen only where an engine tells nothing.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -4,7 +4,7 @@
 
 use base::{ModelName, Name, TargetName};
 
-use crate::{HeldModel, ModelRef};
+use crate::{HeldModel, ModelRef, WeightCopies};
 
 /// The number of orders that an engine has accepted since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -68,6 +68,8 @@
 pub struct EngineReport {
     /// Models held.
     pub models: Vec<HeldModel>,
+    /// Weights that it has at hand, if it tells.
+    pub copies: Option<WeightCopies>,
     /// Adapters on their way.
     pub incoming: Vec<ModelRef>,
     /// Whether an order for a model is in progress.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,4 +40,6 @@
 pub use sync::{
     AdapterAsk, AdapterReply, ModelDemand, ModelOutlook, SyncReply, SyncReport, TeamDraw, TeamGrant,
 };
-pub use target::{HeldModel, ModelRef, PromptPart, TargetEntry, TargetLoad, TargetPhase};
+pub use target::{
+    HeldModel, ModelRef, PromptPart, TargetEntry, TargetLoad, TargetPhase, WeightCopies,
+};
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -49,6 +49,16 @@
     pub adapters: Vec<Name>,
 }
 
+/// Weights that an engine has at hand beside those of the models that it holds: a load of them needs
+/// nothing from the weight store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WeightCopies {
+    /// Models whose weights are in its host's memory.
+    pub memory: Vec<ModelName>,
+    /// Models whose weights are on its disk.
+    pub disk: Vec<ModelName>,
+}
+
 /// Whether a target takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetPhase {
@@ -82,6 +92,8 @@
     pub beat: u64,
     /// Models that it holds.
     pub models: Vec<HeldModel>,
+    /// Weights that it has at hand, if it tells.
+    pub copies: Option<WeightCopies>,
 }
 
 impl TargetEntry {
--- a/crates/front/tests/target_choice.rs
+++ b/crates/front/tests/target_choice.rs
@@ -59,6 +59,7 @@
         born_ms: 10,
         beat: 5,
         models: models.iter().map(held).collect(),
+        copies: None,
     }
 }
 
--- a/crates/lead/src/copies.rs
+++ b/crates/lead/src/copies.rs
@@ -1,21 +1,55 @@
-//! Models on the targets' disks.
+//! Weights that targets have at hand.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::{ModelName, SortedMap, Time};
-use fleet::HeldModel;
+use fleet::{EngineModel, EngineShape, HeldModel, WeightCopies};
 
-/// What each target has held, and so has on its disk.
+/// An entry may be older than a report by about this much: two beats and their way.
+const ENTRY_LAG: Duration = Duration::from_millis(2_500);
+
+/// Where a target has a model's weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyPlace {
+    /// In its host's memory.
+    Memory,
+    /// On its disk.
+    Disk,
+}
+
+impl CopyPlace {
+    /// Returns how long a load from there takes.
+    pub(crate) fn load_span(self, model: &EngineModel) -> Duration {
+        match self {
+            CopyPlace::Memory => model.warm_span,
+            CopyPlace::Disk => model.disk_span,
+        }
+    }
+}
+
+/// What one target has at hand.
+#[derive(Clone, Debug, Default)]
+struct TargetCopies {
+    /// What it told.
+    told: Option<WeightCopies>,
+    /// When it told so in a report.
+    reported_at: Option<Time>,
+    /// What it was seen to hold, and when last; all that is known where a target doesn't tell.
+    seen: Vec<(ModelName, Time)>,
+}
+
+/// What each target has at hand, by its own word or by what it has held.
 #[derive(Clone, Debug, Default)]
 pub struct CopyMemory {
     /// By address: a target that starts again there has the disk that it had.
-    targets: SortedMap<SocketAddr, Vec<(ModelName, Time)>>,
+    targets: SortedMap<SocketAddr, TargetCopies>,
 }
 
 impl CopyMemory {
     /// Notes what a target holds.
     pub fn seen(&mut self, now: Time, target: SocketAddr, models: &[HeldModel]) {
-        let copies = self.targets.entry(target, Vec::new);
+        let copies = &mut self.targets.entry(target, TargetCopies::default).seen;
         for held in models {
             match copies.iter_mut().find(|(name, _)| *name == held.name) {
                 Some((_, at)) => *at = now,
@@ -24,11 +58,40 @@
         }
     }
 
-    /// Returns whether a target has held a model lately enough to have it on a disk with room for
-    /// `places` models.
-    pub fn has(&self, target: SocketAddr, model: &ModelName, places: usize) -> bool {
-        let Some(copies) = self.targets.get(&target) else { return false };
-        let Some((_, at)) = copies.iter().find(|(name, _)| name == model) else { return false };
-        copies.iter().filter(|(_, other)| other > at).count() < places
+    /// Takes what a target tells in its entry, unless a newer report told it.
+    pub fn listed(&mut self, now: Time, target: SocketAddr, told: Option<&WeightCopies>) {
+        let copies = self.targets.entry(target, TargetCopies::default);
+        if copies.reported_at.is_none_or(|at| now.since(at) >= ENTRY_LAG) {
+            copies.told = told.cloned().or(copies.told.take());
+        }
+    }
+
+    /// Takes what a target tells in a report that was asked for at `asked_at`.
+    pub fn reported(&mut self, asked_at: Time, target: SocketAddr, told: Option<&WeightCopies>) {
+        let copies = self.targets.entry(target, TargetCopies::default);
+        if let Some(told) = told {
+            copies.told = Some(told.clone());
+            copies.reported_at = Some(asked_at);
+        }
+    }
+
+    /// Returns where a target has a model's weights, if it has them.
+    pub fn place(
+        &self,
+        target: SocketAddr,
+        shape: &EngineShape,
+        model: &EngineModel,
+    ) -> Option<CopyPlace> {
+        let copies = self.targets.get(&target)?;
+        let Some(told) = &copies.told else {
+            let (_, at) = copies.seen.iter().find(|(name, _)| *name == model.name)?;
+            let newer = copies.seen.iter().filter(|(_, other)| other > at).count();
+            let places = (shape.disk_mb / model.weight_mb.max(1.0)) as usize;
+            return (newer < places).then_some(CopyPlace::Disk);
+        };
+        if told.memory.contains(&model.name) {
+            return Some(CopyPlace::Memory);
+        }
+        told.disk.contains(&model.name).then_some(CopyPlace::Disk)
     }
 }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -220,6 +220,7 @@
                 continue;
             }
             self.copies.seen(now, entry.address, &entry.models);
+            self.copies.listed(now, entry.address, entry.copies.as_ref());
             match self.targets.get_mut(&entry.name) {
                 Some(ledger) => ledger.listed(now, entry.clone()),
                 None => {
@@ -348,7 +349,9 @@
         if let Some(ledger) = self.targets.get_mut(target) {
             let goal = ledger.goal.clone();
             ledger.reported(now, asked_at, report);
-            self.copies.seen(now, ledger.entry.address, ledger.models());
+            let address = ledger.entry.address;
+            self.copies.seen(now, address, ledger.models());
+            self.copies.reported(asked_at, address, report.and_then(|r| r.copies.as_ref()));
             self.note_end(now, target, goal);
         }
     }
--- a/crates/lead/src/lead/plan.rs
+++ b/crates/lead/src/lead/plan.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use base::{ModelName, SortedMap, TargetName, Time};
-use fleet::{EngineModel, EngineShape, ModelOutlook};
+use fleet::{EngineShape, ModelOutlook};
 
 use super::{Lead, LeadNote, LoadBacklog, LoadNote, KNOWN_ARRIVALS};
+use crate::copies::CopyPlace;
 use crate::ledger::{LoadGoal, TargetLedger, UNLOAD_SPAN};
 
 /// Pause between taking a replica in demand out of use and its unload, so that daemons learn of
@@ -90,9 +91,9 @@
             return Some(at);
         }
         let (shape, description) = self.model(model)?;
-        let places = disk_places(shape, description);
         let on_disk = self.targets.values().any(|ledger| {
-            ledger.is_ready() && self.copies.has(ledger.entry.address, model, places)
+            ledger.is_ready()
+                && self.copies.place(ledger.entry.address, shape, description).is_some()
         });
         let waited = self.demand.get(model).map_or(now, |stats| stats.waiting(now).1);
         let until = waited + DISK_PATIENCE;
@@ -230,9 +231,9 @@
             backlog.models += 1;
             backlog.waiting += self.demand.waiting(now, model);
             let Some((shape, description)) = self.model(model) else { continue };
-            let places = disk_places(shape, description);
             let holders = self.targets.values().filter(|ledger| {
-                ledger.is_ready() && self.copies.has(ledger.entry.address, model, places)
+                let address = ledger.entry.address;
+                ledger.is_ready() && self.copies.place(address, shape, description).is_some()
             });
             match holders.map(TargetLedger::is_idle).max() {
                 Some(true) => backlog.on_idle_disk += 1,
@@ -255,24 +256,23 @@
         let model = &candidate.model;
         let Some((shape, description)) = self.model(model) else { return };
         let (shape, description) = (shape.clone(), description.clone());
-        let places = disk_places(&shape, &description);
         let rate = self.demand.rate(now, model);
         let store_loads = self.store_loads();
         let store_open = store_loads < self.config.loads_at_once
             && self.window.has_room(now, shape.loads_per_second);
-        let mut best: Option<(f64, TargetName, Option<ModelName>, bool)> = None;
+        let mut best: Option<(f64, TargetName, Option<ModelName>, Option<CopyPlace>)> = None;
         let mut disk_is_busy = false;
         for (name, ledger) in self.targets.iter() {
             let fits = self.shape(&ledger.entry).is_some_and(|s| s.models.contains(model));
             if !fits || !ledger.is_ready() || ledger.holds(model) {
                 continue;
             }
-            let on_disk = self.copies.has(ledger.entry.address, model, places);
+            let copy = self.copies.place(ledger.entry.address, &shape, &description);
             if !ledger.is_idle() {
-                disk_is_busy |= on_disk;
+                disk_is_busy |= copy.is_some();
                 continue;
             }
-            if !on_disk && !store_open {
+            if copy.is_none() && !store_open {
                 continue;
             }
             let Some((victim, cost)) =
@@ -289,29 +289,28 @@
             if !candidate.waiting && cost > bound {
                 continue;
             }
-            let span = if on_disk { description.disk_span } else { description.load_span };
+            let span = copy.map_or(description.load_span, |copy| copy.load_span(&description));
             let blocked =
                 if ledger.adapters.in_demand(now) { span.mul_f64(0.5) } else { Duration::ZERO };
             let total = (span + blocked).as_secs_f64() + cost;
             if best.as_ref().is_none_or(|(least, ..)| total < *least) {
-                best = Some((total, name.clone(), victim, on_disk));
+                best = Some((total, name.clone(), victim, copy));
             }
         }
-        let Some((_, name, victim, on_disk)) = best else { return };
+        let Some((_, name, victim, copy)) = best else { return };
+        let from_store = copy.is_none();
         let waited = self.demand.get(model).map_or(now, |stats| stats.waiting(now).1);
-        if !on_disk && disk_is_busy && now.since(waited) < DISK_PATIENCE {
+        if from_store && disk_is_busy && now.since(waited) < DISK_PATIENCE {
             return;
         }
-        let span = if on_disk { description.disk_span } else { description.load_span };
-        let slowed = if on_disk {
-            1.0
-        } else {
-            (store_loads as f64 + 1.0) / self.config.loads_at_once as f64
+        let span = match copy {
+            Some(copy) => copy.load_span(&description),
+            None => {
+                self.window.began(now);
+                let slowed = (store_loads as f64 + 1.0) / self.config.loads_at_once as f64;
+                description.load_span.mul_f64(slowed.max(1.0))
+            }
         };
-        let span = span.mul_f64(slowed.max(1.0));
-        if !on_disk {
-            self.window.began(now);
-        }
         if let Some(count) = counts.get_mut(model) {
             count.loading += 1;
         }
@@ -319,7 +318,7 @@
             model: model.clone(),
             target: name.clone(),
             victim: victim.clone(),
-            from_store: !on_disk,
+            from_store,
             waiting: self.demand.waiting(now, model),
             rate: self.demand.rate(now, model),
             wanted: counts.get(model).map_or(0, |count| count.wanted),
@@ -337,13 +336,13 @@
             ledger.retiring = Some((victim, now + pause));
         }
         let ready_at = now + UNLOAD_SPAN + span;
-        let least = description.disk_span;
+        let least = span.min(description.disk_span);
         let grows = candidate.grows;
         ledger.goal = Some(LoadGoal {
             model: model.clone(),
             span,
             least,
-            from_store: !on_disk,
+            from_store,
             grows,
             decided_at: now,
             ready_at,
@@ -389,8 +388,3 @@
         best.map(|(model, cost)| (Some(model), cost))
     }
 }
-
-/// Returns how many models fit on a target's disk.
-fn disk_places(shape: &EngineShape, model: &EngineModel) -> usize {
-    (shape.disk_mb / model.weight_mb.max(1.0)) as usize
-}
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -40,7 +40,7 @@
 mod window;
 
 pub use config::{LeadConfig, LeadTerm};
-pub use copies::CopyMemory;
+pub use copies::{CopyMemory, CopyPlace};
 pub use lead::{AdapterState, Lead, LeadAction, LeadNote, LoadBacklog, LoadEnd, LoadNote};
 pub use ledger::TargetLedger;
 pub use pool::{SeatRoster, SeatTable, TokenPool};
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -38,6 +38,7 @@
         born_ms: 1,
         beat: 1,
         models: held(models),
+        copies: None,
     }
 }
 
