Plan loads from disks apart from loads from the weight store

What callers saw: after 35 engines had crashed and come back empty, requests for their models were refused for up to half a minute, though a load from disk takes 1.3 s; and the weight store idled for 11 s while models waited for it.

Cause: head-of-line blocking. A plan looked at the twelve candidates of most worth. Those that had to wait for the store, or for a busy engine's disk, kept it from looking at the others.

Ruled out: that orders were refused or lost (none was in the log of those engines).

Each candidate now has its own chance of an engine that has its weights at hand, found by an index; the search of all targets for room, which costs processor time, is what is bounded. The outlook counts only models without a copy at hand for the store's queue.

--- a/crates/lead/src/copies.rs
+++ b/crates/lead/src/copies.rs
@@ -44,6 +44,8 @@
 pub struct CopyMemory {
     /// By address: a target that starts again there has the disk that it had.
     targets: SortedMap<SocketAddr, TargetCopies>,
+    /// Addresses where a model has been; some may have dropped it since.
+    holders: SortedMap<ModelName, Vec<SocketAddr>>,
 }
 
 impl CopyMemory {
@@ -53,7 +55,10 @@
         for held in models {
             match copies.iter_mut().find(|(name, _)| *name == held.name) {
                 Some((_, at)) => *at = now,
-                None => copies.push((held.name.clone(), now)),
+                None => {
+                    copies.push((held.name.clone(), now));
+                    note_holder(&mut self.holders, &held.name, target);
+                }
             }
         }
     }
@@ -61,20 +66,32 @@
     /// Takes what a target tells in its entry, unless a newer report told it.
     pub fn listed(&mut self, now: Time, target: SocketAddr, told: Option<&WeightCopies>) {
         let copies = self.targets.entry(target, TargetCopies::default);
-        if copies.reported_at.is_none_or(|at| now.since(at) >= ENTRY_LAG) {
-            copies.told = told.cloned().or(copies.told.take());
+        let is_newer = copies.reported_at.is_none_or(|at| now.since(at) >= ENTRY_LAG);
+        if let Some(told) = told.filter(|told| is_newer && copies.told.as_ref() != Some(told)) {
+            self.told(target, told);
         }
     }
 
     /// Takes what a target tells in a report that was asked for at `asked_at`.
     pub fn reported(&mut self, asked_at: Time, target: SocketAddr, told: Option<&WeightCopies>) {
-        let copies = self.targets.entry(target, TargetCopies::default);
         if let Some(told) = told {
-            copies.told = Some(told.clone());
-            copies.reported_at = Some(asked_at);
+            self.targets.entry(target, TargetCopies::default).reported_at = Some(asked_at);
+            self.told(target, told);
         }
     }
 
+    fn told(&mut self, target: SocketAddr, told: &WeightCopies) {
+        for model in told.memory.iter().chain(&told.disk) {
+            note_holder(&mut self.holders, model, target);
+        }
+        self.targets.entry(target, TargetCopies::default).told = Some(told.clone());
+    }
+
+    /// Returns the addresses where a model may be at hand; [`CopyMemory::place`] tells whether.
+    pub(crate) fn holders(&self, model: &ModelName) -> &[SocketAddr] {
+        self.holders.get(model).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns where a target has a model's weights, if it has them.
     pub fn place(
         &self,
@@ -95,3 +112,14 @@
         told.disk.contains(&model.name).then_some(CopyPlace::Disk)
     }
 }
+
+fn note_holder(
+    holders: &mut SortedMap<ModelName, Vec<SocketAddr>>,
+    model: &ModelName,
+    target: SocketAddr,
+) {
+    let known = holders.entry(model.clone(), Vec::new);
+    if !known.contains(&target) {
+        known.push(target);
+    }
+}
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -2,6 +2,7 @@
 
 mod plan;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -117,6 +118,8 @@
     layout: Option<Arc<FleetLayout>>,
     targets: SortedMap<TargetName, TargetLedger>,
     copies: CopyMemory,
+    /// The target that listed itself last at an address.
+    addresses: SortedMap<SocketAddr, TargetName>,
     initial: SortedMap<ModelName, usize>,
     demand: DemandTable,
     window: LoadWindow,
@@ -146,6 +149,7 @@
             layout: None,
             targets: SortedMap::default(),
             copies: CopyMemory::default(),
+            addresses: SortedMap::default(),
             initial: SortedMap::default(),
             demand: DemandTable::default(),
             seats: SeatTable::default(),
@@ -213,7 +217,12 @@
         let missing: Vec<TargetName> =
             self.targets.iter().map(|(name, _)| name.clone()).filter(gone).collect();
         for name in missing {
-            self.targets.remove(&name);
+            if let Some(ledger) = self.targets.remove(&name) {
+                let address = ledger.entry.address;
+                if self.addresses.get(&address) == Some(&name) {
+                    self.addresses.remove(&address);
+                }
+            }
         }
         for entry in entries {
             if self.shape(entry).is_none() {
@@ -222,7 +231,11 @@
             self.copies.seen(now, entry.address, &entry.models);
             self.copies.listed(now, entry.address, entry.copies.as_ref());
             match self.targets.get_mut(&entry.name) {
-                Some(ledger) => ledger.listed(now, entry.clone()),
+                Some(ledger) if ledger.entry == *entry => {}
+                Some(ledger) => {
+                    self.addresses.insert(entry.address, entry.name.clone());
+                    ledger.listed(now, entry.clone());
+                }
                 None => {
                     if self.demand.arrivals() < KNOWN_ARRIVALS {
                         for held in &entry.models {
@@ -230,6 +243,7 @@
                         }
                     }
                     self.listed_at = now;
+                    self.addresses.insert(entry.address, entry.name.clone());
                     let ledger = TargetLedger::new(now, entry.clone());
                     self.targets.insert(entry.name.clone(), ledger);
                 }
--- a/crates/lead/src/lead/plan.rs
+++ b/crates/lead/src/lead/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{ModelName, SortedMap, TargetName, Time};
-use fleet::{EngineShape, ModelOutlook};
+use fleet::{EngineModel, EngineShape, ModelOutlook};
 
 use super::{Lead, LeadNote, LoadBacklog, LoadNote, KNOWN_ARRIVALS};
 use crate::copies::CopyPlace;
@@ -28,8 +28,8 @@
 const PLAN_PAUSE: Duration = Duration::from_millis(20);
 /// Least pause between two notes of the models that have no load.
 const BACKLOG_PAUSE: Duration = Duration::from_millis(1_000);
-/// Models that one plan looks for a place for.
-const MAX_CANDIDATES: usize = 12;
+/// Models for which one plan looks at all targets for room.
+const MAX_SEARCHES: usize = 12;
 /// Demand by which copies are kept, as a factor on the demand by which they are loaded.
 const KEEP_FACTOR: f64 = 1.6;
 /// Part of what another copy is worth that its victim may cost.
@@ -72,6 +72,25 @@
     grows: bool,
 }
 
+/// A load that could be decided.
+struct LoadChoice {
+    /// Its time and what it costs others, in seconds.
+    total: f64,
+    target: TargetName,
+    victim: Option<ModelName>,
+    /// Where the target has the weights, if it has them.
+    copy: Option<CopyPlace>,
+}
+
+impl LoadChoice {
+    fn better(best: Option<LoadChoice>, other: Option<LoadChoice>) -> Option<LoadChoice> {
+        match (best, other) {
+            (Some(best), Some(other)) if best.total <= other.total => Some(best),
+            (best, other) => other.or(best),
+        }
+    }
+}
+
 impl Lead {
     pub(super) fn outlook(&self, now: Time, model: &ModelName) -> ModelOutlook {
         let ready = self.ready_time(now, model).map(|at| at.since(now));
@@ -91,13 +110,17 @@
             return Some(at);
         }
         let (shape, description) = self.model(model)?;
-        let on_disk = self.targets.values().any(|ledger| {
-            ledger.is_ready()
-                && self.copies.place(ledger.entry.address, shape, description).is_some()
+        let copies = self.copy_holders(shape, description);
+        let copied = copies.iter().filter_map(|(ledger, copy)| {
+            let open_at = ledger.soon_open(now)?;
+            Some(open_at + RETIRE_PAUSE + UNLOAD_SPAN + copy.load_span(description))
         });
+        if let Some(at) = copied.min() {
+            return Some(at);
+        }
         let waited = self.demand.get(model).map_or(now, |stats| stats.waiting(now).1);
         let until = waited + DISK_PATIENCE;
-        if on_disk && until > now {
+        if !copies.is_empty() && until > now {
             return Some(until);
         }
         let ahead = self.queue.iter().take_while(|other| *other != model);
@@ -106,6 +129,20 @@
         Some(now + UNLOAD_SPAN + description.load_span * rounds.min(MAX_ROUNDS))
     }
 
+    /// Returns the targets in use that have a model's weights at hand.
+    fn copy_holders(
+        &self,
+        shape: &EngineShape,
+        model: &EngineModel,
+    ) -> Vec<(&TargetLedger, CopyPlace)> {
+        let holders = self.copies.holders(&model.name).iter().filter_map(|address| {
+            let ledger = self.targets.get(self.addresses.get(address)?)?;
+            let copy = self.copies.place(*address, shape, model)?;
+            ledger.is_ready().then_some((ledger, copy))
+        });
+        holders.collect()
+    }
+
     fn store_loads(&self) -> usize {
         let loads = |ledger: &&TargetLedger| {
             ledger.goal.as_ref().is_some_and(|goal| goal.from_store)
@@ -204,14 +241,22 @@
             (false, true) => self.config.loads_at_once / 2,
             (false, false) => self.config.loads_at_once,
         };
-        for candidate in candidates.into_iter().take(MAX_CANDIDATES) {
+        // Loads of weights at hand go first: they are short and wait for one target only, whatever
+        // other models must wait for.
+        candidates.retain(|candidate| !self.plan_copy(now, candidate, &mut counts));
+        let mut searches = 0;
+        for candidate in candidates {
             // More copies of what is served don't take all loads from what nobody holds.
-            let grows = |ledger: &&TargetLedger| ledger.goal.as_ref().is_some_and(|g| g.grows);
-            let growing = self.targets.values().filter(grows).count();
-            if candidate.grows && growing >= growth {
+            let grows = |ledger: &&TargetLedger| {
+                ledger.goal.as_ref().is_some_and(|goal| goal.grows && goal.from_store)
+            };
+            if candidate.grows && self.targets.values().filter(grows).count() >= growth {
                 continue;
             }
-            self.plan_load(now, &candidate, &mut counts);
+            searches += usize::from(self.plan_fetch(now, &candidate, &mut counts));
+            if searches >= MAX_SEARCHES {
+                break;
+            }
         }
         self.note_backlog(now);
     }
@@ -231,11 +276,8 @@
             backlog.models += 1;
             backlog.waiting += self.demand.waiting(now, model);
             let Some((shape, description)) = self.model(model) else { continue };
-            let holders = self.targets.values().filter(|ledger| {
-                let address = ledger.entry.address;
-                ledger.is_ready() && self.copies.place(address, shape, description).is_some()
-            });
-            match holders.map(TargetLedger::is_idle).max() {
+            let holders = self.copy_holders(shape, description);
+            match holders.iter().map(|(ledger, _)| ledger.is_idle()).max() {
                 Some(true) => backlog.on_idle_disk += 1,
                 Some(false) => backlog.on_busy_disk += 1,
                 None => {}
@@ -247,67 +289,112 @@
         }
     }
 
-    fn plan_load(
+    /// Plans a load of weights that a target has at hand. Returns whether nothing is left to do for
+    /// the candidate: that is planned, or such a target will soon be open.
+    fn plan_copy(
         &mut self,
         now: Time,
         candidate: &Candidate,
         counts: &mut SortedMap<ModelName, CopyCount>,
-    ) {
+    ) -> bool {
         let model = &candidate.model;
-        let Some((shape, description)) = self.model(model) else { return };
-        let (shape, description) = (shape.clone(), description.clone());
-        let rate = self.demand.rate(now, model);
-        let store_loads = self.store_loads();
-        let store_open = store_loads < self.config.loads_at_once
-            && self.window.has_room(now, shape.loads_per_second);
-        let mut best: Option<(f64, TargetName, Option<ModelName>, Option<CopyPlace>)> = None;
-        let mut disk_is_busy = false;
-        for (name, ledger) in self.targets.iter() {
-            let fits = self.shape(&ledger.entry).is_some_and(|s| s.models.contains(model));
-            if !fits || !ledger.is_ready() || ledger.holds(model) {
+        let Some((shape, description)) = self.model(model) else { return true };
+        let mut is_busy = false;
+        let mut best: Option<LoadChoice> = None;
+        for (ledger, copy) in self.copy_holders(shape, description) {
+            if ledger.holds(model) {
                 continue;
             }
-            let copy = self.copies.place(ledger.entry.address, &shape, &description);
             if !ledger.is_idle() {
-                disk_is_busy |= copy.is_some();
-                continue;
-            }
-            if copy.is_none() && !store_open {
-                continue;
-            }
-            let Some((victim, cost)) =
-                self.victim(now, ledger, &shape, description.weight_mb, counts)
-            else {
-                continue;
-            };
-            // Without anyone waiting, one model that is seldom asked for must not displace another.
-            let bound = match (candidate.grows, rate >= DEMAND_FLOOR) {
-                (true, _) => candidate.worth * GROWTH_BOUND,
-                (false, true) => candidate.worth * UNSERVED_BOUND,
-                (false, false) => 0.0,
-            };
-            if !candidate.waiting && cost > bound {
+                is_busy = true;
                 continue;
             }
-            let span = copy.map_or(description.load_span, |copy| copy.load_span(&description));
-            let blocked =
-                if ledger.adapters.in_demand(now) { span.mul_f64(0.5) } else { Duration::ZERO };
-            let total = (span + blocked).as_secs_f64() + cost;
-            if best.as_ref().is_none_or(|(least, ..)| total < *least) {
-                best = Some((total, name.clone(), victim, copy));
-            }
+            let choice =
+                self.choose(now, candidate, ledger, (shape, description), Some(copy), counts);
+            best = LoadChoice::better(best, choice);
+        }
+        if let Some(choice) = best {
+            let description = description.clone();
+            self.begin_load(now, candidate, &description, choice, counts);
+            return true;
         }
-        let Some((_, name, victim, copy)) = best else { return };
-        let from_store = copy.is_none();
         let waited = self.demand.get(model).map_or(now, |stats| stats.waiting(now).1);
-        if from_store && disk_is_busy && now.since(waited) < DISK_PATIENCE {
-            return;
+        is_busy && now.since(waited) < DISK_PATIENCE
+    }
+
+    /// Plans a load from the weight store. Returns whether targets were searched for room.
+    fn plan_fetch(
+        &mut self,
+        now: Time,
+        candidate: &Candidate,
+        counts: &mut SortedMap<ModelName, CopyCount>,
+    ) -> bool {
+        let model = &candidate.model;
+        let Some((shape, description)) = self.model(model) else { return false };
+        let (shape, description) = (shape.clone(), description.clone());
+        if self.store_loads() >= self.config.loads_at_once
+            || !self.window.has_room(now, shape.loads_per_second)
+        {
+            return false;
+        }
+        let mut best: Option<LoadChoice> = None;
+        for ledger in self.targets.values().filter(|ledger| ledger.is_idle()) {
+            let fits = self.shape(&ledger.entry).is_some_and(|s| s.models.contains(model));
+            if fits && !ledger.holds(model) {
+                let choice =
+                    self.choose(now, candidate, ledger, (&shape, &description), None, counts);
+                best = LoadChoice::better(best, choice);
+            }
+        }
+        if let Some(choice) = best {
+            self.begin_load(now, candidate, &description, choice, counts);
+        }
+        true
+    }
+
+    /// Returns what a load on a target would cost, unless that is more than it brings.
+    fn choose(
+        &self,
+        now: Time,
+        candidate: &Candidate,
+        ledger: &TargetLedger,
+        (shape, description): (&EngineShape, &EngineModel),
+        copy: Option<CopyPlace>,
+        counts: &SortedMap<ModelName, CopyCount>,
+    ) -> Option<LoadChoice> {
+        let (victim, cost) = self.victim(now, ledger, shape, description.weight_mb, counts)?;
+        let is_asked = self.demand.rate(now, &candidate.model) >= DEMAND_FLOOR;
+        // Without anyone waiting, one model that is seldom asked for must not displace another.
+        let bound = match (candidate.grows, is_asked) {
+            (true, _) => candidate.worth * GROWTH_BOUND,
+            (false, true) => candidate.worth * UNSERVED_BOUND,
+            (false, false) => 0.0,
+        };
+        if !candidate.waiting && cost > bound {
+            return None;
         }
+        let span = copy.map_or(description.load_span, |copy| copy.load_span(description));
+        let blocked =
+            if ledger.adapters.in_demand(now) { span.mul_f64(0.5) } else { Duration::ZERO };
+        let total = (span + blocked).as_secs_f64() + cost;
+        Some(LoadChoice { total, target: ledger.entry.name.clone(), victim, copy })
+    }
+
+    fn begin_load(
+        &mut self,
+        now: Time,
+        candidate: &Candidate,
+        description: &EngineModel,
+        choice: LoadChoice,
+        counts: &mut SortedMap<ModelName, CopyCount>,
+    ) {
+        let LoadChoice { target, victim, copy, .. } = choice;
+        let (model, from_store) = (&candidate.model, copy.is_none());
         let span = match copy {
-            Some(copy) => copy.load_span(&description),
+            Some(copy) => copy.load_span(description),
             None => {
+                let slowed = (self.store_loads() as f64 + 1.0) / self.config.loads_at_once as f64;
                 self.window.began(now);
-                let slowed = (store_loads as f64 + 1.0) / self.config.loads_at_once as f64;
                 description.load_span.mul_f64(slowed.max(1.0))
             }
         };
@@ -316,7 +403,7 @@
         }
         self.notes.push(LeadNote::Planned(LoadNote {
             model: model.clone(),
-            target: name.clone(),
+            target: target.clone(),
             victim: victim.clone(),
             from_store,
             waiting: self.demand.waiting(now, model),
@@ -324,7 +411,7 @@
             wanted: counts.get(model).map_or(0, |count| count.wanted),
         }));
         let victim_rate = victim.as_ref().map_or(0.0, |victim| self.demand.rate(now, victim));
-        let Some(ledger) = self.targets.get_mut(&name) else { return };
+        let Some(ledger) = self.targets.get_mut(&target) else { return };
         if let Some(victim) = victim {
             if let Some(count) = counts.get_mut(&victim) {
                 count.serving = count.serving.saturating_sub(1);
@@ -335,17 +422,14 @@
             ledger.news.push((victim.clone(), false, now));
             ledger.retiring = Some((victim, now + pause));
         }
-        let ready_at = now + UNLOAD_SPAN + span;
-        let least = span.min(description.disk_span);
-        let grows = candidate.grows;
         ledger.goal = Some(LoadGoal {
             model: model.clone(),
             span,
-            least,
+            least: span.min(description.disk_span),
             from_store,
-            grows,
+            grows: candidate.grows,
             decided_at: now,
-            ready_at,
+            ready_at: now + UNLOAD_SPAN + span,
         });
     }
 
--- a/crates/lead/src/ledger.rs
+++ b/crates/lead/src/ledger.rs
@@ -388,6 +388,16 @@
         }
     }
 
+    /// Returns when the target can begin another load, unless it loads from the weight store or
+    /// does what the leader knows nothing of.
+    pub(crate) fn soon_open(&self, now: Time) -> Option<Time> {
+        match &self.goal {
+            Some(goal) if goal.from_store => None,
+            Some(goal) => Some(goal.ready_at.max(now)),
+            None => self.is_idle().then_some(now),
+        }
+    }
+
     /// Returns when the target can take an order for an adapter; now, if it is not busy.
     pub(crate) fn open_at(&self, now: Time) -> Time {
         match (&self.running, &self.goal) {
