Give an engine that can't be reached no load until it has reported

What callers saw: while a failure domain was cut off, models that engines elsewhere could have loaded were refused.

Cause: an order that could not be sent dropped the plan and nothing else, so that the same load was planned on the same engine again, every half second.

Ruled out: a daemon's own cut from the network, as its orders to other domains were accepted meanwhile.

The engine's state counts as unknown after such an order, and is asked for.

--- a/crates/lead/src/ledger.rs
+++ b/crates/lead/src/ledger.rs
@@ -363,7 +363,12 @@
                 };
                 self.next_report = now + span.max(REPORT_LAG);
             }
-            OrderReply::NotSent => self.drop_plans(&subject),
+            OrderReply::NotSent => {
+                // The target may be out of reach: it gets nothing more before it reports.
+                self.sequence = None;
+                self.next_report = now;
+                self.drop_plans(&subject);
+            }
             // Whatever the target did, its next report tells; what was planned is planned anew.
             OrderReply::Done
             | OrderReply::Conflict
