Tell each daemon of a load once, and of an engine's entry only what changed

Cause: the leader's answers grow with loads times daemons. Each load was told in every answer for 2.5 s, and each engine's whole entry was passed on at each change, twice a load, to 85 daemons: by the model 1.45 MB a second, where the link carries 1.25.

Ruled out: processor time (the trial without charge is no better).

A daemon's acknowledgement moves a mark past which it is told nothing again. Where only the holdings of a listed engine changed, only they are passed on; who lacks the entry reads the whole list.

--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -3,6 +3,8 @@
 use base::Revision;
 use serde::{Deserialize, Serialize};
 
+use crate::HeldModel;
+
 /// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreChange {
@@ -10,9 +12,21 @@
     pub key: String,
     /// Revision of the change.
     pub revision: Revision,
-    /// The new value; `None` when the key was removed.
-    #[serde(with = "base64_text")]
+    /// The new value; `None` when the key was removed, or when there are `holdings`.
+    #[serde(with = "base64_text", default, skip_serializing_if = "Option::is_none")]
     pub value: Option<Vec<u8>>,
+    /// Set where the key is a target's and nothing but this has changed in its entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holdings: Option<TargetHoldings>,
+}
+
+/// The part of a target's entry that changes with each load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetHoldings {
+    /// Number of the entry among those of the target's start.
+    pub beat: u64,
+    /// Models that it holds.
+    pub models: Vec<HeldModel>,
 }
 
 /// All changes of the store between two revisions. Of several changes of one key, only the last
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,7 +31,7 @@
 mod sync;
 mod target;
 
-pub use change::{ChangeBatch, StoreChange};
+pub use change::{ChangeBatch, StoreChange, TargetHoldings};
 pub use engine::{EngineOrder, EngineReport, OrderKind, OrderReply, OrderSequence};
 pub use layout::{
     Allowance, ClientLimits, EngineModel, EngineShape, FleetLayout, LayoutBuilder, LayoutVersion,
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -8,6 +8,8 @@
 use base::{DomainName, ModelName, Name, ParseError, TargetName};
 use serde::{Deserialize, Serialize};
 
+use crate::TargetHoldings;
+
 /// A model, or an adapter of it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ModelRef {
@@ -39,7 +41,7 @@
 }
 
 /// A model that a target holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
     /// Name.
     pub name: ModelName,
@@ -97,6 +99,19 @@
 }
 
 impl TargetEntry {
+    /// Returns the part of a newer entry that differs from this one, if that is only what the target
+    /// holds.
+    pub fn new_holdings(&self, newer: &TargetEntry) -> Option<TargetHoldings> {
+        let held = TargetHoldings { beat: newer.beat, models: newer.models.clone() };
+        let same = TargetEntry { copies: newer.copies.clone(), ..self.clone() }.with(held.clone());
+        (same == *newer).then_some(held)
+    }
+
+    /// Returns the entry with other holdings.
+    pub fn with(self, holdings: TargetHoldings) -> TargetEntry {
+        TargetEntry { beat: holdings.beat, models: holdings.models, ..self }
+    }
+
     /// Returns what the target holds of a model.
     pub fn held(&self, model: &ModelName) -> Option<&HeldModel> {
         self.models.iter().find(|held| held.name == *model)
--- a/crates/front/src/book.rs
+++ b/crates/front/src/book.rs
@@ -15,8 +15,9 @@
 /// What a target said of its load counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(1_000);
 /// What the leader says of a target's holdings goes before an older listing for this long: a
-/// target lists changes with its next beat, and a listing takes a moment to arrive.
-const NOTE_LIFE: Duration = Duration::from_millis(2_500);
+/// target lists changes with its next beat or two, and the leader passes a listing on within a
+/// report's interval.
+const NOTE_LIFE: Duration = Duration::from_millis(4_000);
 /// A failure domain with so many targets seems to be cut off when so many of them are dead or
 /// silent and none has answered for this long.
 const DOMAIN_TARGETS: usize = 3;
@@ -270,6 +271,12 @@
         dead.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns the entry of a target that the store lists, so that all daemons know it.
+    pub fn listed_entry(&self, name: &TargetName) -> Option<&TargetEntry> {
+        let state = self.targets.get(name)?;
+        state.lapsed_until.is_none().then_some(&state.entry)
+    }
+
     /// Returns the entry of a target.
     pub fn entry(&self, name: &TargetName) -> Option<&TargetEntry> {
         self.targets.get(name).map(|state| &state.entry)
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -8,21 +8,19 @@
 
 use base::{ModelName, Revision, SortedMap, TargetName, TeamName, Time};
 use fleet::{
-    EngineModel, EngineOrder, EngineReport, EngineShape, FleetLayout, ModelRef, OrderKind,
-    OrderReply, StoreChange, SyncReply, SyncReport, TargetEntry,
+    EngineModel, EngineOrder, EngineReport, EngineShape, FleetLayout, ModelRef, OrderReply,
+    StoreChange, SyncReply, SyncReport, TargetEntry,
 };
 
 use crate::config::{LeadConfig, LeadTerm};
 use crate::copies::CopyMemory;
 use crate::demand::DemandTable;
 use crate::ledger::{LoadGoal, TargetLedger};
+use crate::news::NewsLog;
 use crate::pool::{SeatRoster, SeatTable, TokenPool};
 use crate::relay::ChangeLog;
 use crate::window::LoadWindow;
 
-/// Daemons are told of new replicas and of those that go for this long; by then the targets'
-/// entries say so.
-const NEWS_SPAN: Duration = Duration::from_millis(2_500);
 /// Arrivals from which on demand is known well enough to change the copies found at the start.
 const KNOWN_ARRIVALS: u64 = 40;
 
@@ -126,6 +124,7 @@
     seats: SeatTable,
     pools: SortedMap<TeamName, TokenPool>,
     changes: ChangeLog,
+    news: NewsLog,
     /// When a target was listed for the first time, last.
     listed_at: Time,
     /// Models without a copy, in the order in which they are to be loaded.
@@ -155,6 +154,7 @@
             seats: SeatTable::default(),
             pools: SortedMap::default(),
             changes: ChangeLog::default(),
+            news: NewsLog::default(),
             planned_at: None,
             backlog_at: None,
             notes: Vec::new(),
@@ -286,14 +286,12 @@
         self.plan_loads(now);
         let waiting = report.demand.iter().filter(|entry| entry.waiting > 0);
         let outlooks = waiting.map(|entry| self.outlook(now, &entry.model)).collect();
-        let (mut held, mut retiring) = (Vec::new(), Vec::new());
         for (name, ledger) in self.targets.iter_mut() {
-            ledger.news.retain(|(.., at)| now.since(*at) < NEWS_SPAN);
-            for (model, is_held, _) in &ledger.news {
-                let list = if *is_held { &mut held } else { &mut retiring };
-                list.push((name.clone(), model.clone()));
+            for (model, is_held) in ledger.news.drain(..) {
+                self.news.push(now, name, &model, is_held);
             }
         }
+        let (held, retiring) = self.news.tell(now, report);
         SyncReply {
             fence: self.term.fence,
             number: report.number,
@@ -390,10 +388,6 @@
         if let Some(ledger) = self.targets.get_mut(&order.target) {
             let goal = ledger.goal.clone();
             ledger.answered(now, reply);
-            if order.kind == OrderKind::Unload && order.subject.adapter.is_none() {
-                // A model that was unloaded is not wanted back by what was told before.
-                ledger.news.retain(|(model, held, _)| !(*held && *model == order.subject.model));
-            }
             self.note_end(now, &order.target, goal);
         }
         reply != OrderReply::Fenced
--- a/crates/lead/src/lead/plan.rs
+++ b/crates/lead/src/lead/plan.rs
@@ -419,7 +419,7 @@
             let recent = ledger.used_at(&victim).is_some_and(|at| now.since(at) < USE_SPAN);
             let pause =
                 if recent || victim_rate >= DEMAND_FLOOR { RETIRE_PAUSE } else { Duration::ZERO };
-            ledger.news.push((victim.clone(), false, now));
+            ledger.news.push((victim.clone(), false));
             ledger.retiring = Some((victim, now + pause));
         }
         ledger.goal = Some(LoadGoal {
--- a/crates/lead/src/ledger.rs
+++ b/crates/lead/src/ledger.rs
@@ -76,8 +76,8 @@
     pub(crate) goal: Option<LoadGoal>,
     /// A model that is taken out of use, and when its unload may be ordered.
     pub(crate) retiring: Option<(ModelName, Time)>,
-    /// Models that finished loading, and models that were taken out of use, with their times.
-    pub(crate) news: Vec<(ModelName, bool, Time)>,
+    /// Models that finished loading (true) or were taken out of use, in order, not told yet.
+    pub(crate) news: Vec<(ModelName, bool)>,
     used: SortedMap<ModelName, Time>,
     failures: u32,
     /// Set while the target does not answer.
@@ -258,7 +258,7 @@
         // A load that a former leader ordered: daemons know nothing of it until the target's entry
         // says so.
         let found = report.models.iter().filter(|held| !self.holds(&held.name));
-        let found: Vec<_> = found.map(|held| (held.name.clone(), true, now)).collect();
+        let found: Vec<_> = found.map(|held| (held.name.clone(), true)).collect();
         self.news.extend(found);
         self.set_models(now, report.models.clone());
         for subject in &report.incoming {
@@ -297,7 +297,7 @@
                 if self.goal.as_ref().is_some_and(|goal| goal.model == model) {
                     self.goal = None;
                 }
-                self.news.push((model, true, now));
+                self.news.push((model, true));
             }
             OrderKind::Unload => {
                 if self.retiring.as_ref().is_some_and(|(retiring, _)| *retiring == model) {
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -35,6 +35,7 @@
 mod demand;
 mod lead;
 mod ledger;
+mod news;
 mod pool;
 mod relay;
 mod window;
--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -20,8 +20,12 @@
 /// use fleet::StoreChange;
 /// use mango_lead::ChangeLog;
 ///
-/// let change =
-///     StoreChange { key: "hosts/1".to_owned(), revision: Revision(7), value: Some(vec![1]) };
+/// let change = StoreChange {
+///     key: "hosts/1".to_owned(),
+///     revision: Revision(7),
+///     value: Some(vec![1]),
+///     holdings: None,
+/// };
 /// let mut log = ChangeLog::default();
 /// log.watched(Time::ZERO, Revision(5), vec![change], Revision(8));
 /// let batch = log.since(Time::from_millis(30), Revision(6)).unwrap();
@@ -40,6 +44,8 @@
 
 impl ChangeLog {
     /// Takes the answer to a watch from the revision `after` that was sent at `asked_at`.
+    ///
+    /// A change with holdings has its whole value too, for daemons that lack the one before.
     pub fn watched(
         &mut self,
         asked_at: Time,
@@ -68,11 +74,16 @@
             return None;
         }
         let newer = self.changes.iter().filter(|change| change.revision > known);
+        let newer = newer.map(|change| match &change.holdings {
+            // Nothing but these has changed since what the daemon knows.
+            Some(_) => StoreChange { value: None, ..change.clone() },
+            None => change.clone(),
+        });
         Some(ChangeBatch {
             after: known,
             until: self.until.max(known),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            changes: newer.cloned().collect(),
+            changes: newer.collect(),
         })
     }
 
@@ -82,9 +93,14 @@
         self.bytes = 0;
     }
 
-    fn push(&mut self, change: StoreChange) {
+    fn push(&mut self, mut change: StoreChange) {
         if let Some(at) = self.changes.iter().position(|other| other.key == change.key) {
-            self.bytes -= self.changes.remove(at).map_or(0, |old| size(&old));
+            if let Some(old) = self.changes.remove(at) {
+                self.bytes -= size(&old);
+                if old.holdings.is_none() {
+                    change.holdings = None;
+                }
+            }
         }
         self.bytes += size(&change);
         self.changes.push_back(change);
--- a/crates/lead/tests/store_relay.rs
+++ b/crates/lead/tests/store_relay.rs
@@ -48,6 +48,7 @@
         key: format!("targets/{}", revision % 144),
         revision: Revision(revision),
         value: Some(vec![0; 300]),
+        holdings: None,
     };
     let mut log = ChangeLog::default();
     let (mut leader_known, mut asked_ms, mut calls) = (0, 0, 0);
@@ -138,11 +139,13 @@
         key: key.to_owned(),
         revision: Revision(revision),
         value: Some(vec![0; 10]),
+        holdings: None,
     };
     let large = |revision| StoreChange {
         key: "layout".to_owned(),
         revision: Revision(revision),
         value: Some(vec![0; 100_000]),
+        holdings: None,
     };
     let many: Vec<StoreChange> = (1..400)
         .map(|n| StoreChange { value: Some(vec![0; 300]), ..small(&format!("k{n}"), n) })
@@ -180,6 +183,7 @@
         key: "targets/1".to_owned(),
         revision: Revision(3),
         value: Some(vec![0, 159, 146, 150, 255]),
+        holdings: None,
     };
     let gone = StoreChange { value: None, ..change.clone() };
     for change in [change, gone] {
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -6,7 +6,7 @@
 
 use base::{Revision, TargetName, Time};
 use daemon::boot_time;
-use fleet::StoreChange;
+use fleet::{StoreChange, TargetHoldings};
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, read_target, LAYOUT_KEY, TARGET_PREFIX};
 use platform::store::WatchReply;
@@ -41,6 +41,8 @@
     down: bool,
     /// Whether the leader passes changes on.
     is_relayed: bool,
+    /// Set when the leader passed on a part of an entry that this daemon doesn't have.
+    lacks_target: bool,
 }
 
 /// Follows the store for as long as the daemon runs.
@@ -53,6 +55,7 @@
         grace_until: now,
         down: false,
         is_relayed: false,
+        lacks_target: false,
     };
     let mut listed = false;
     let mut pause = RETRY_PAUSE.0;
@@ -77,6 +80,7 @@
             }
         }
         follower.expire();
+        listed &= !std::mem::take(&mut follower.lacks_target);
     }
 }
 
@@ -149,7 +153,7 @@
             let until = batch.until;
             // One that begins later is asked for again by the next report.
             if let Some(changes) = batch.since(self.revision) {
-                self.take_all(now, changes.into_iter().map(to_event).collect(), until);
+                self.take_all(now, changes.into_iter().map(KnownChange::from).collect(), until);
             }
         }
         if is_fresh {
@@ -183,12 +187,12 @@
             }
         };
         if let Some(leading) = host.leading.borrow_mut().as_mut() {
-            let changes = events.iter().map(to_change).collect();
+            let changes = events.iter().map(|event| self.to_change(event)).collect();
             leading.lead.store_watched(asked_at, after, changes, revision);
         }
         let now = boot_time();
         let is_any = !events.is_empty();
-        self.take_all(now, events, revision);
+        self.take_all(now, events.into_iter().map(KnownChange::Event).collect(), revision);
         self.heard();
         if is_any {
             let is_vacant = host.leader.borrow().is_none();
@@ -198,15 +202,18 @@
     }
 
     /// Takes all changes up to a revision.
-    fn take_all(&mut self, now: Time, events: Vec<KeyEvent>, until: Revision) {
+    fn take_all(&mut self, now: Time, changes: Vec<KnownChange>, until: Revision) {
         if self.was_away(now) {
             self.grace_until = now + self.host.desk.borrow().return_grace();
         }
         let mut relevant = false;
         // What the leader passed on meanwhile may be newer.
         let known = self.revision;
-        for event in events.into_iter().filter(|event| revision_of(event) > known) {
-            relevant |= self.take(now, event);
+        for change in changes.into_iter().filter(|change| change.revision() > known) {
+            relevant |= match change {
+                KnownChange::Event(event) => self.take(now, event),
+                KnownChange::Holdings(key, _, holdings) => self.take_holdings(now, &key, holdings),
+            };
         }
         self.revision = self.revision.max(until);
         self.host.known.set(self.revision);
@@ -217,10 +224,7 @@
 
     /// Takes one change. Returns whether anything depends on it.
     fn take(&mut self, now: Time, event: KeyEvent) -> bool {
-        let key = match &event {
-            KeyEvent::Put(item) => item.key.clone(),
-            KeyEvent::Deleted(key, _) => key.clone(),
-        };
+        let key = key_of(&event).to_owned();
         match event {
             KeyEvent::Put(item) if key == LAYOUT_KEY => self.take_layout(&item),
             event if key.starts_with(TARGET_PREFIX) => self.take_target(now, &key, event),
@@ -250,7 +254,7 @@
     }
 
     fn take_target(&mut self, now: Time, key: &str, event: KeyEvent) -> bool {
-        let Ok(name) = key[TARGET_PREFIX.len()..].parse::<TargetName>() else { return false };
+        let Some(name) = target_name(key) else { return false };
         let entry = match &event {
             KeyEvent::Put(item) => read_entry(item),
             KeyEvent::Deleted(..) => None,
@@ -286,6 +290,31 @@
         }
     }
 
+    /// Takes what a target holds now. The leader passes on nothing else of an entry that is known.
+    fn take_holdings(&mut self, now: Time, key: &str, holdings: TargetHoldings) -> bool {
+        let host = self.host.clone();
+        let mut desk = host.desk.borrow_mut();
+        let Some(entry) = target_name(key).and_then(|name| desk.book().entry(&name).cloned())
+        else {
+            Line::new("target_missing").text("key", &key).info();
+            self.lacks_target = true;
+            return false;
+        };
+        desk.book_mut().listed(now, entry.with(holdings))
+    }
+
+    /// Returns a change as the leader passes it on.
+    fn to_change(&self, event: &KeyEvent) -> StoreChange {
+        let (key, revision) = (key_of(event).to_owned(), revision_of(event));
+        let KeyEvent::Put(item) = event else {
+            return StoreChange { key, revision, value: None, holdings: None };
+        };
+        let desk = self.host.desk.borrow();
+        let known = target_name(&key).and_then(|name| desk.book().listed_entry(&name));
+        let holdings = known.and_then(|known| known.new_holdings(&read_entry(item)?));
+        StoreChange { key, revision, value: Some(item.value.clone()), holdings }
+    }
+
     fn take_own(&self, key: &str, event: KeyEvent) -> bool {
         if key == LEADER_KEY {
             let revision = revision_of(&event);
@@ -353,22 +382,43 @@
     }
 }
 
-fn to_change(event: &KeyEvent) -> StoreChange {
+fn key_of(event: &KeyEvent) -> &str {
     match event {
-        KeyEvent::Put(KeyValue { key, value, revision }) => {
-            StoreChange { key: key.clone(), revision: *revision, value: Some(value.clone()) }
-        }
-        KeyEvent::Deleted(key, revision) => {
-            StoreChange { key: key.clone(), revision: *revision, value: None }
+        KeyEvent::Put(item) => &item.key,
+        KeyEvent::Deleted(key, _) => key,
+    }
+}
+
+fn target_name(key: &str) -> Option<TargetName> {
+    key.strip_prefix(TARGET_PREFIX)?.parse().ok()
+}
+
+/// A change of the store, from the store itself or from the leader.
+enum KnownChange {
+    Event(KeyEvent),
+    /// Only what a target holds has changed.
+    Holdings(String, Revision, TargetHoldings),
+}
+
+impl KnownChange {
+    fn revision(&self) -> Revision {
+        match self {
+            KnownChange::Event(event) => revision_of(event),
+            KnownChange::Holdings(_, revision, _) => *revision,
         }
     }
 }
 
-fn to_event(change: StoreChange) -> KeyEvent {
-    let StoreChange { key, revision, value } = change;
-    match value {
-        Some(value) => KeyEvent::Put(KeyValue { key, value, revision }),
-        None => KeyEvent::Deleted(key, revision),
+impl From<StoreChange> for KnownChange {
+    fn from(change: StoreChange) -> KnownChange {
+        let StoreChange { key, revision, value, holdings } = change;
+        match (value, holdings) {
+            (_, Some(holdings)) => KnownChange::Holdings(key, revision, holdings),
+            (Some(value), None) => {
+                KnownChange::Event(KeyEvent::Put(KeyValue { key, value, revision }))
+            }
+            (None, None) => KnownChange::Event(KeyEvent::Deleted(key, revision)),
+        }
     }
 }
 
