Read the store's state after a gap, not all the changes that were missed

Cause: a daemon that had been without the store asked for all changes since.

Ruled out: processor time (the same without charge), and the leader's word (these daemons read the store themselves).

Whatever a daemon learns by the store comes by the same call, so that leaving targets, keys and allowances were late with it, and are mended with it.

--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -45,5 +45,5 @@
 pub use lead::{AdapterState, Lead, LeadAction, LeadNote, LoadBacklog, LoadEnd, LoadNote};
 pub use ledger::TargetLedger;
 pub use pool::{SeatRoster, SeatTable, TokenPool};
-pub use relay::{ChangeLog, RelayView};
+pub use relay::{ChangeLog, ReadPlan, RelayView, StoreRead};
 pub use window::LoadWindow;
--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -11,6 +11,10 @@
 /// A larger value is read from the store by each daemon: the leader's link may be slow.
 const MAX_VALUE_BYTES: usize = 4 << 10;
 
+/// Time without an answer from the store after which changes may cost more than the state; a call
+/// that was cut short is made again sooner.
+const MAX_GAP: Duration = Duration::from_millis(1_500);
+
 /// The latest changes of the store, at the leader.
 ///
 /// # Example
@@ -140,3 +144,66 @@
         (self.fresh_until > now).then_some(self.fresh_until)
     }
 }
+
+/// What a daemon asks the store for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreRead {
+    /// Everything as it is.
+    State,
+    /// What has changed since the last answer.
+    Changes,
+}
+
+/// How a daemon reads the store.
+///
+/// Changes cost as much as was missed: a configuration that was replaced sixty times comes sixty
+/// times. After a gap the state costs less, and is read in a time that doesn't grow with the gap.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadPlan {
+    is_listed: bool,
+    is_lost: bool,
+    heard_at: Time,
+}
+
+impl ReadPlan {
+    /// Creates the plan of a daemon that knows nothing yet.
+    pub fn new(now: Time) -> ReadPlan {
+        ReadPlan { is_listed: false, is_lost: false, heard_at: now }
+    }
+
+    /// Returns what to ask for next.
+    pub fn next(&self, now: Time) -> StoreRead {
+        let has_gap = self.is_lost && now.since(self.heard_at) > MAX_GAP;
+        if self.is_listed && !has_gap {
+            StoreRead::Changes
+        } else {
+            StoreRead::State
+        }
+    }
+
+    /// Returns whether the state was read, so that changes lead on from it.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
+    /// Notes that the state has arrived.
+    pub fn listed(&mut self, now: Time) {
+        *self = ReadPlan { is_listed: true, is_lost: false, heard_at: now };
+    }
+
+    /// Notes that changes have arrived, or that the leader passed them on.
+    pub fn heard(&mut self, now: Time) {
+        self.is_lost = false;
+        self.heard_at = now;
+    }
+
+    /// Notes that a call failed.
+    pub fn lost(&mut self) {
+        self.is_lost = true;
+    }
+
+    /// Notes that changes no longer lead to the state.
+    pub fn forget(&mut self) {
+        self.is_listed = false;
+    }
+}
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -7,6 +7,7 @@
 use base::{Revision, TargetName, Time};
 use daemon::boot_time;
 use fleet::{StoreChange, TargetHoldings};
+use lead::{ReadPlan, StoreRead};
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, read_target, LAYOUT_KEY, TARGET_PREFIX};
 use platform::store::WatchReply;
@@ -41,8 +42,7 @@
     down: bool,
     /// Whether the leader passes changes on.
     is_relayed: bool,
-    /// Set when the leader passed on a part of an entry that this daemon doesn't have.
-    lacks_target: bool,
+    plan: ReadPlan,
 }
 
 /// Follows the store for as long as the daemon runs.
@@ -55,24 +55,24 @@
         grace_until: now,
         down: false,
         is_relayed: false,
-        lacks_target: false,
+        plan: ReadPlan::new(now),
     };
-    let mut listed = false;
     let mut pause = RETRY_PAUSE.0;
     loop {
-        let step = if !listed {
-            follower.list().await
-        } else if let Some(until) = follower.relayed_until() {
-            follower.follow_leader(until).await;
-            Ok(true)
-        } else {
-            follower.watch().await
+        let relayed_until = match follower.plan.is_listed() {
+            true => follower.relayed_until(),
+            false => None,
         };
-        match step {
-            Ok(go_on) => {
-                listed = go_on;
-                pause = RETRY_PAUSE.0;
+        let step = match (relayed_until, follower.plan.next(boot_time())) {
+            (Some(until), _) => {
+                follower.follow_leader(until).await;
+                Ok(())
             }
+            (None, StoreRead::State) => follower.list().await,
+            (None, StoreRead::Changes) => follower.watch().await,
+        };
+        match step {
+            Ok(()) => pause = RETRY_PAUSE.0,
             Err(error) => {
                 follower.lost(&error);
                 tokio::time::sleep(pause).await;
@@ -80,13 +80,12 @@
             }
         }
         follower.expire();
-        listed &= !std::mem::take(&mut follower.lacks_target);
     }
 }
 
 impl Follower {
-    /// Reads everything. Returns whether the follower can go on with a watch.
-    async fn list(&mut self) -> Result<bool, StoreError> {
+    /// Reads everything.
+    async fn list(&mut self) -> Result<(), StoreError> {
         let host = self.host.clone();
         let (items, revision) = host.store.range_all(ALL_PREFIX).await?;
         let now = boot_time();
@@ -103,6 +102,7 @@
         let entries = of(TARGET_PREFIX).filter_map(read_entry).collect();
         host.desk.borrow_mut().book_mut().relisted(now, entries, grace);
         host.listed.set(true);
+        self.plan.listed(now);
         let seats = of(OWN_PREFIX).filter_map(|item| seat::read_seat(&item.key));
         host.seats.borrow_mut().relisted(now, seats);
         seat::seats_changed(&host);
@@ -117,7 +117,7 @@
             .with("after_outage", grace.is_some())
             .info();
         self.changed();
-        Ok(true)
+        Ok(())
     }
 
     /// Returns until when the leader's word on the store suffices; `None` for the leader itself.
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Waits for changes and takes them. Returns false when everything must be read again.
-    async fn watch(&mut self) -> Result<bool, StoreError> {
+    /// Waits for changes and takes them.
+    async fn watch(&mut self) -> Result<(), StoreError> {
         let host = self.host.clone();
         let leads = host.leading.borrow().is_some();
         let (wait, pause) = match leads {
@@ -183,7 +183,8 @@
             WatchReply::Changes(events, revision) => (events, revision),
             WatchReply::Compacted => {
                 Line::new("history_gone").with("revision", self.revision.0).info();
-                return Ok(false);
+                self.plan.forget();
+                return Ok(());
             }
         };
         if let Some(leading) = host.leading.borrow_mut().as_mut() {
@@ -198,7 +199,7 @@
             let is_vacant = host.leader.borrow().is_none();
             sleep_until(now + if is_vacant { VACANT_PAUSE.min(pause) } else { pause }).await;
         }
-        Ok(true)
+        Ok(())
     }
 
     /// Takes all changes up to a revision.
@@ -297,7 +298,7 @@
         let Some(entry) = target_name(key).and_then(|name| desk.book().entry(&name).cloned())
         else {
             Line::new("target_missing").text("key", &key).info();
-            self.lacks_target = true;
+            self.plan.forget();
             return false;
         };
         desk.book_mut().listed(now, entry.with(holdings))
@@ -358,12 +359,14 @@
 
     fn heard(&mut self) {
         self.heard_at = boot_time();
+        self.plan.heard(self.heard_at);
         if std::mem::take(&mut self.down) {
             Line::new("store_regained").info();
         }
     }
 
     fn lost(&mut self, error: &StoreError) {
+        self.plan.lost();
         if !self.down {
             self.down = true;
             let age = boot_time().since(self.heard_at).as_millis();
