--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -183,6 +183,13 @@
         whole.lines().map(|line| serde_json::from_str(line).expect("a JSON line")).collect()
     }
 
+    /// Returns the memory that the process holds.
+    pub fn resident_bytes(&self) -> u64 {
+        let pid = Pid::from_child(self.child.as_ref().unwrap()).as_raw_nonzero();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap();
+        text.split(' ').nth(1).unwrap().parse::<u64>().unwrap() * 4_096
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             kill_process(Pid::from_child(child), signal).unwrap();
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -16,8 +16,9 @@
 impl EventCutter {
     /// Adds bytes and returns the events that are complete, if any.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let known = self.rest.len();
         self.rest.extend_from_slice(bytes);
-        let end = match find_last_end(&self.rest) {
+        let end = match find_last_end(&self.rest, known) {
             Some(end) => end,
             None if self.rest.len() > MAX_EVENT_BYTES => self.rest.len(),
             None => return None,
@@ -45,10 +46,11 @@
     }
 }
 
-/// Returns the position after the last empty line.
-fn find_last_end(bytes: &[u8]) -> Option<usize> {
+/// Returns the position after the last empty line, if that is after the first `known` bytes: those
+/// have none.
+fn find_last_end(bytes: &[u8], known: usize) -> Option<usize> {
     let ends = |at: &usize| bytes[..*at].ends_with(b"\n\n") || bytes[..*at].ends_with(b"\r\n\r\n");
-    (1..=bytes.len()).rev().find(ends)
+    (known + 1..=bytes.len()).rev().find(ends)
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
