--- a/crates/mangodeal/tests/endless_bytes.rs
+++ b/crates/mangodeal/tests/endless_bytes.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use common::{eventually, run};
+use platform_fleet::platform_standin::server_entry;
 use platform_fleet::{request, PlatformFleet};
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -78,17 +78,12 @@
             });
             // The only server of its service, or the only one with the model.
             let service = if place == Place::WholeBody { "orders" } else { "engines" };
-            let models = json!([{"name": "c", "version": 1, "adapters": []}]);
-            let entry = json!({
-                "service": service, "address": address.to_string(), "zone": "east",
-                "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "sequence": 1,
-                "born": 1_700_000_000_000u64, "models": models,
-            });
             if service == "orders" {
                 fleet.store.delete("servers/orders-1");
                 fleet.store.delete("servers/orders-2");
             }
-            fleet.store.put("servers/babbler", &entry);
+            let (key, entry) = server_entry("babbler", service, address, &["c"]);
+            fleet.store.put(&key, &entry);
             eventually(Duration::from_secs(5), "the server is listed", || async {
                 front.log().iter().any(|line| line["target"] == "babbler")
             })
