Take a target's own word that it leaves, and that it wants to be spared

Every answer of one that leaves carries its leave; a 503 may ask for a pause. Neither was read.

Change: a target's leave is kept by its start, goes before any entry of that start, and is told to the other daemons by the leader, also to one that starts again. A target that asks to be spared gets nothing for that long and up to a quarter more by a draw, then one request until it answers; what only it could serve is refused at once with that time. Both are looked at again when the bytes leave. Sparing isn't told to others: it concerns one host.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -41,5 +41,6 @@
     AdapterAsk, AdapterReply, ModelDemand, ModelOutlook, SyncReply, SyncReport, TeamDraw, TeamGrant,
 };
 pub use target::{
-    HeldModel, ModelRef, PromptPart, TargetEntry, TargetLoad, TargetPhase, WeightCopies,
+    HeldModel, ModelRef, PromptPart, TargetDeparture, TargetEntry, TargetLoad, TargetPhase,
+    WeightCopies,
 };
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -3,7 +3,7 @@
 use base::{ModelName, Name, Revision, TargetName, TeamName};
 use serde::{Deserialize, Serialize};
 
-use crate::{ChangeBatch, ModelRef};
+use crate::{ChangeBatch, ModelRef, TargetDeparture};
 
 /// What a daemon was asked for of one model since its last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -54,6 +54,9 @@
     pub used: Vec<(TargetName, ModelRef)>,
     /// Targets that this daemon finds dead.
     pub suspects: Vec<TargetName>,
+    /// Targets whose own word that they leave this daemon has, as far as no leader has answered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<TargetDeparture>,
     /// Needs by team.
     pub draws: Vec<TeamDraw>,
 }
@@ -97,6 +100,9 @@
     pub held: Vec<(TargetName, ModelName)>,
     /// Replicas that are about to be unloaded.
     pub retiring: Vec<(TargetName, ModelName)>,
+    /// Targets that leave by their own word, as other daemons have it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<TargetDeparture>,
     /// What the daemon lacks of the store, if the leader has all of it.
     pub changes: Option<ChangeBatch>,
 }
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -73,6 +73,15 @@
     },
 }
 
+/// A start of a target that leaves by its own word.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetDeparture {
+    /// Target.
+    pub target: TargetName,
+    /// Start of its process, in milliseconds since 1970.
+    pub born_ms: u64,
+}
+
 /// A target as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetEntry {
--- a/crates/front/src/book.rs
+++ b/crates/front/src/book.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{DomainName, ModelName, Name, SortedMap, TargetName, Time};
-use fleet::{ModelRef, TargetEntry, TargetLoad, TargetPhase};
+use fleet::{ModelRef, TargetDeparture, TargetEntry, TargetLoad, TargetPhase};
 
 use crate::record::PartRecord;
 use crate::ticket::AttemptEnd;
@@ -25,6 +25,11 @@
 const DOMAIN_SILENCE: Duration = Duration::from_millis(400);
 /// Weight of one outcome in a target's share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
+/// Targets that left by their own word and are remembered.
+const MAX_DEPARTED: usize = 4_096;
+/// A target that asked to be spared gets so many requests at first, until it has begun to answer
+/// one.
+const TRIAL_RUNS: usize = 1;
 /// Time by which a run may exceed twice its estimate before its target counts as silent.
 const SILENCE_SLACK: Duration = Duration::from_millis(250);
 
@@ -75,6 +80,10 @@
     avoid_until: Time,
     /// Until when nothing is sent, since nothing can arrive.
     dead_until: Time,
+    /// Until when the target wants nothing from this daemon, by its own word.
+    spared_until: Time,
+    /// Set since the target asked to be spared, until it answers again.
+    on_trial: bool,
     notes: Vec<HoldingNote>,
     pub(crate) record: PartRecord,
 }
@@ -91,6 +100,8 @@
             failure_share: 0.0,
             avoid_until: now,
             dead_until: now,
+            spared_until: now,
+            on_trial: false,
             notes: Vec::new(),
             record: PartRecord::default(),
         }
@@ -101,6 +112,23 @@
         self.entry.phase == TargetPhase::Ready
             && self.lapsed_until.is_none_or(|until| now < until)
             && now >= self.dead_until
+            && now >= self.spared_until
+            && !self.is_tried()
+    }
+
+    /// Returns whether the target has not answered yet since it asked to be spared, and has its
+    /// first requests.
+    fn is_tried(&self) -> bool {
+        let pending = self.runs.iter().filter(|run| !run.begun).count();
+        self.on_trial && pending >= TRIAL_RUNS
+    }
+
+    /// Returns when a target that would take requests but wants to be spared will take some; now
+    /// for one that has its first request since.
+    fn spare_end(&self, now: Time) -> Option<Time> {
+        let waits = now < self.spared_until || self.is_tried();
+        let stays = self.entry.phase == TargetPhase::Ready && now >= self.dead_until;
+        (waits && stays).then(|| self.spared_until.max(now))
     }
 
     pub(crate) fn is_avoided(&self, now: Time) -> bool {
@@ -187,6 +215,8 @@
     targets: SortedMap<TargetName, TargetState>,
     /// When a target of a failure domain last began to answer.
     heard: SortedMap<DomainName, Time>,
+    /// Targets that left by their own word, with their starts and when that was learnt.
+    departed: SortedMap<TargetName, (u64, Time)>,
 }
 
 impl TargetBook {
@@ -194,7 +224,11 @@
     ///
     /// An entry of an earlier start of the same target, or an earlier one of the same start, is
     /// ignored.
-    pub fn listed(&mut self, now: Time, entry: TargetEntry) -> bool {
+    pub fn listed(&mut self, now: Time, mut entry: TargetEntry) -> bool {
+        // A target's own word goes before its entry, which may be older.
+        if self.has_departed(&entry.name, entry.born_ms) && entry.phase == TargetPhase::Ready {
+            entry.phase = TargetPhase::Leaving { left: None };
+        }
         let Some(state) = self.targets.get_mut(&entry.name) else {
             self.targets.insert(entry.name.clone(), TargetState::new(now, entry));
             return true;
@@ -265,6 +299,84 @@
         gone
     }
 
+    /// Takes a target's own word that it leaves. The same start of it gets nothing new from then
+    /// on, whatever is listed later. Returns its start if that was not known, as is a start that is
+    /// older than the one that is listed.
+    pub fn leaves(&mut self, now: Time, name: &TargetName) -> Option<TargetDeparture> {
+        let born_ms = self.targets.get(name)?.entry.born_ms;
+        let departure = TargetDeparture { target: name.clone(), born_ms };
+        self.departs(now, &departure).then_some(departure)
+    }
+
+    /// Takes another daemon's word that a target leaves. Returns whether it is new.
+    pub fn departs(&mut self, now: Time, departure: &TargetDeparture) -> bool {
+        let TargetDeparture { target, born_ms } = departure;
+        if self.has_departed(target, *born_ms) {
+            return false;
+        }
+        if self.departed.len() >= MAX_DEPARTED {
+            let oldest = self.departed.iter().min_by_key(|(_, (_, at))| *at);
+            if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+                self.departed.remove(&name);
+            }
+        }
+        self.departed.insert(target.clone(), (*born_ms, now));
+        if let Some(state) = self.targets.get_mut(target) {
+            let is_it = state.entry.born_ms <= *born_ms;
+            if is_it && state.entry.phase == TargetPhase::Ready {
+                state.entry.phase = TargetPhase::Leaving { left: None };
+            }
+        }
+        true
+    }
+
+    fn has_departed(&self, name: &TargetName, born_ms: u64) -> bool {
+        self.departed.get(name).is_some_and(|(born, _)| born_ms <= *born)
+    }
+
+    /// Returns the targets whose own word that they leave was learnt within a time.
+    pub fn departures(&self, now: Time, within: Duration) -> Vec<TargetDeparture> {
+        let recent = self.departed.iter().filter(|(_, (_, at))| now.since(*at) < within);
+        let departure = |(target, (born_ms, _)): (&TargetName, &(u64, Time))| TargetDeparture {
+            target: target.clone(),
+            born_ms: *born_ms,
+        };
+        recent.map(departure).collect()
+    }
+
+    /// Takes a target's word that it wants nothing from this daemon until a moment.
+    pub fn spare(&mut self, name: &TargetName, until: Time) {
+        if let Some(state) = self.targets.get_mut(name) {
+            state.spared_until = state.spared_until.max(until);
+            state.on_trial = true;
+        }
+    }
+
+    /// Returns when the first of a service's targets that want to be spared will take requests, if
+    /// there is one that could serve a model.
+    pub(crate) fn spare_end(
+        &self,
+        now: Time,
+        service: &Name,
+        subject: Option<&ModelRef>,
+    ) -> Option<Time> {
+        let fits = |state: &&TargetState| {
+            let base = |s: &ModelRef| ModelRef { model: s.model.clone(), adapter: None };
+            state.entry.service == *service && subject.is_none_or(|s| state.holds(now, &base(s)))
+        };
+        self.targets.values().filter(fits).filter_map(|state| state.spare_end(now)).min()
+    }
+
+    /// Returns whether bytes of a request for a target may leave now, after time has passed since
+    /// it was chosen.
+    pub fn may_send(&self, now: Time, name: &TargetName) -> bool {
+        self.targets.get(name).is_some_and(|state| {
+            state.entry.phase == TargetPhase::Ready
+                && state.lapsed_until.is_none_or(|until| now < until)
+                && now >= state.spared_until
+        })
+    }
+
     /// Returns the targets that nothing can be sent to.
     pub fn dead(&self, now: Time) -> Vec<TargetName> {
         let dead = self.targets.iter().filter(|(_, state)| now < state.dead_until);
@@ -369,6 +481,7 @@
         let state = self.targets.get_mut(name)?;
         let run = state.runs.iter_mut().find(|run| run.request == request && !run.begun)?;
         run.begun = true;
+        state.on_trial = false;
         self.heard.insert(state.entry.domain.clone(), now);
         Some((now.since(run.since), run.estimate))
     }
@@ -405,7 +518,10 @@
                 }
                 None
             }
-            AttemptEnd::Lacking | AttemptEnd::Replaced | AttemptEnd::Abandoned => None,
+            AttemptEnd::Lacking
+            | AttemptEnd::Replaced
+            | AttemptEnd::Withheld
+            | AttemptEnd::Abandoned => None,
         };
         if end == AttemptEnd::Replaced {
             state.dead_until = now + REPLACED_SPAN;
--- a/crates/front/src/choose.rs
+++ b/crates/front/src/choose.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Returns a uniform draw from 0 to 1.
+    pub(crate) fn draw(&mut self) -> f64 {
+        self.random.random()
+    }
+
     /// Learns from a first event that took `took` where `estimate` was expected.
     pub(crate) fn learn_pace(&mut self, model: &ModelName, took: Duration, estimate: Duration) {
         let pace = self.paces.entry(model.clone(), || 1.0);
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{Name, ResultCode, SortedMap, TeamName, Time};
-use fleet::{FleetLayout, LayoutVersion, TargetLoad};
+use base::{Name, ResultCode, SortedMap, TargetName, TeamName, Time};
+use fleet::{FleetLayout, LayoutVersion, ModelRef, TargetDeparture, TargetLoad};
 
 use crate::book::TargetBook;
 use crate::choose::Chooser;
@@ -32,6 +32,9 @@
 /// Clients leave a stream that does not begin for the longest of this time, so many times the
 /// objective, and so many times the longest pause.
 const FIRST_PATIENCE: (Duration, u32, u32) = (Duration::from_millis(1_950), 4, 8);
+/// Part of the time for which a target asked to be spared by which daemons stay away longer, each by
+/// a draw, so that they don't all come back at once.
+const SPARE_SPREAD: f64 = 0.25;
 /// Factor of a team's priority over that of a route.
 const TEAM_RANK: u8 = 3;
 
@@ -79,6 +82,9 @@
     sync_number: u64,
     acknowledged: u64,
     synced_at: Time,
+    /// Targets that told this daemon that they leave, with the number of the first report that said
+    /// so, until a leader has answered it.
+    leaving: Vec<(TargetDeparture, Option<u64>)>,
 }
 
 impl Desk {
@@ -102,9 +108,40 @@
             sync_number: 0,
             acknowledged: 0,
             synced_at: now,
+            leaving: Vec::new(),
         }
     }
 
+    /// Takes a target's own word that it leaves. Returns whether that is new.
+    pub fn target_leaves(&mut self, now: Time, target: &TargetName) -> bool {
+        let departure = self.book.leaves(now, target);
+        let is_new = departure.is_some();
+        self.leaving.extend(departure.map(|departure| (departure, None)));
+        is_new
+    }
+
+    /// Takes a target's word that it wants nothing from this daemon for a time. Returns until when
+    /// it gets nothing.
+    pub fn target_spared(&mut self, now: Time, target: &TargetName, span: Duration) -> Time {
+        let until = now + span + span.mul_f64(SPARE_SPREAD * self.chooser.draw());
+        self.book.spare(target, until);
+        until
+    }
+
+    /// Returns how long all targets that could serve a request want to be spared; `None` when one of
+    /// them takes requests, or none of them will.
+    fn spared_for(
+        &self,
+        now: Time,
+        service: &Name,
+        subject: Option<&ModelRef>,
+    ) -> Option<Duration> {
+        let mut open = self.book.of_service(now, service);
+        let is_open = open.any(|state| subject.is_none_or(|subject| state.holds(now, subject)));
+        let end = self.book.spare_end(now, service, subject).filter(|_| !is_open);
+        end.map(|end| end.since(now))
+    }
+
     /// Takes a layout, unless it is older than the present one. Returns whether it was taken.
     pub fn layout_changed(&mut self, now: Time, layout: Arc<FleetLayout>) -> bool {
         if self.layout.as_ref().is_some_and(|known| known.version() >= layout.version()) {
@@ -326,11 +363,11 @@
         };
         self.book.ended(now, &target, id, end);
         ticket.last_end = Some(end);
-        if matches!(end, AttemptEnd::NotSent | AttemptEnd::Replaced) {
+        if matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld | AttemptEnd::Replaced) {
             // Nothing reached the chosen target.
             ticket.tried.retain(|tried| *tried != target);
         }
-        if end == AttemptEnd::NotSent {
+        if matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld) {
             ticket.sends -= 1;
             ticket.fetches += 1;
         }
@@ -348,7 +385,7 @@
                 self.close(now, id, false);
                 return AfterEnd::PassOn;
             }
-            AttemptEnd::NotSent => ticket.fetches <= MAX_UNSENT,
+            AttemptEnd::NotSent | AttemptEnd::Withheld => ticket.fetches <= MAX_UNSENT,
             AttemptEnd::Replaced | AttemptEnd::Lacking => true,
             AttemptEnd::Full(_) => ticket.has_attempts(),
             AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Broken | AttemptEnd::Failed => {
@@ -364,7 +401,10 @@
             self.close(now, id, false);
             return AfterEnd::PassOn;
         }
-        let refusal = ticket.give_up(ResultCode::NoCapacity, RETRY_AFTER, "attempts used up");
+        let (service, subject) = (ticket.service.clone(), ticket.model.clone());
+        let wait = self.spared_for(now, &service, subject.as_ref()).unwrap_or(RETRY_AFTER);
+        let Some(ticket) = self.tickets.get(&id) else { return AfterEnd::PassOn };
+        let refusal = ticket.give_up(ResultCode::NoCapacity, wait, "attempts used up");
         let not_run = !ticket.may_have_run;
         self.close(now, id, not_run);
         AfterEnd::Final(refusal)
--- a/crates/front/src/desk/step.rs
+++ b/crates/front/src/desk/step.rs
@@ -8,7 +8,7 @@
 use super::{Desk, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::choose::Choice;
 use crate::purse::PayVerdict;
-use crate::ticket::{Dispatch, Refusal, Stage, Step};
+use crate::ticket::{Dispatch, Refusal, Stage, Step, Ticket};
 
 /// How long a request waits for the leader's first word on its model.
 const WORD_PATIENCE: Duration = Duration::from_millis(2_500);
@@ -24,6 +24,8 @@
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_200));
 /// A request that comes back for a load should find it complete.
 const LOAD_SLACK: Duration = Duration::from_millis(250);
+/// Pause before looking again at a target that has its first request since it asked to be spared.
+const TRIAL_LOOK: Duration = Duration::from_millis(50);
 /// A leader that was not heard for longer has probably lost its machine or its connections.
 const LEADER_SILENCE: Duration = Duration::from_millis(1_300);
 
@@ -99,6 +101,9 @@
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
         let Some(choice) = self.chooser.plain(now, ticket, &self.book) else {
+            if let Some(step) = self.spare(now, ticket, None) {
+                return step;
+            }
             return Step::Refuse(ticket.give_up(ResultCode::NoCapacity, RETRY_AFTER, "no target"));
         };
         if now + choice.note.estimate > ticket.deadline {
@@ -120,6 +125,9 @@
             }
             return self.send(now, id, choice);
         }
+        if let Some(step) = self.spare(now, ticket, Some(subject)) {
+            return step;
+        }
         if let Some(open) = ticket.failed_fetch.iter().map(|(_, until)| *until).min() {
             let work = self.chooser.reading(&subject.model, ticket.chain.tokens());
             let open = open.max(now + self.leaderless(now));
@@ -173,6 +181,18 @@
         }
     }
 
+    /// Returns what to do with a request all of whose targets want to be spared: it is told when to
+    /// come back, or waits for the answer to the first request after that.
+    fn spare(&self, now: Time, ticket: &Ticket, subject: Option<&ModelRef>) -> Option<Step> {
+        let wait = self.spared_for(now, &ticket.service, subject)?;
+        if wait.is_zero() && ticket.tried.is_empty() {
+            return Some(Step::Wait((now + TRIAL_LOOK).min(ticket.first_by)));
+        }
+        let wait = wait.max(SYNC_PAUSE);
+        let refusal = ticket.give_up(ResultCode::NoCapacity, wait, "targets ask to be spared");
+        Some(Step::Refuse(refusal))
+    }
+
     /// Returns how long it may take until a leader gives orders again; zero while one is heard.
     fn leaderless(&self, now: Time) -> Duration {
         let silence = now.since(self.heard_at);
--- a/crates/front/src/desk/sync.rs
+++ b/crates/front/src/desk/sync.rs
@@ -1,7 +1,9 @@
 //! Reports to the leader, and its answers.
 
+use std::time::Duration;
+
 use base::{Revision, Time};
-use fleet::{SyncReply, SyncReport, TeamDraw};
+use fleet::{SyncReply, SyncReport, TargetDeparture, TeamDraw};
 
 use super::{Desk, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::ticket::Stage;
@@ -9,6 +11,10 @@
 /// Daemons up to which the shorter interval applies; with more of them it grows in proportion.
 const SYNC_SEATS: u32 = 40;
 
+/// What targets said of their leaving is told to a new leader for this long: by then the store
+/// doesn't list them any more.
+const DEPARTURE_SPAN: Duration = Duration::from_secs(60);
+
 impl Desk {
     /// Returns when the next report to the leader is due.
     pub fn sync_due(&self, now: Time) -> Time {
@@ -52,14 +58,30 @@
             demand,
             used,
             suspects: self.book.dead(now),
+            leaving: self.tell_leaving(),
         }
     }
 
+    /// Returns the departures that no leader has answered yet.
+    fn tell_leaving(&mut self) -> Vec<TargetDeparture> {
+        let number = self.sync_number;
+        self.leaving.iter_mut().for_each(|(_, told)| *told = told.or(Some(number)));
+        self.leaving.iter().map(|(departure, _)| departure.clone()).collect()
+    }
+
     /// Takes the leader's answer to a report that was sent at `asked_at`.
     pub fn replied(&mut self, now: Time, asked_at: Time, reply: &SyncReply) {
         if reply.fence < self.fence {
             return;
         }
+        self.leaving.retain(|(_, told)| told.is_none_or(|number| number > reply.number));
+        if reply.fence > self.fence {
+            let known = self.book.departures(now, DEPARTURE_SPAN);
+            self.leaving = known.into_iter().map(|departure| (departure, None)).collect();
+        }
+        for departure in &reply.leaving {
+            self.book.departs(now, departure);
+        }
         self.fence = reply.fence;
         self.heard_at = self.heard_at.max(asked_at);
         self.acknowledged = reply.number;
--- a/crates/front/src/ticket.rs
+++ b/crates/front/src/ticket.rs
@@ -123,6 +123,8 @@
 pub enum AttemptEnd {
     /// No byte reached the target.
     NotSent,
+    /// Nothing was sent: the decision was too old, or the target doesn't take requests any more.
+    Withheld,
     /// The target states that it did not run the request: it is full.
     Full(Option<TargetLoad>),
     /// The target states that it did not run the request: it lacks the model or the adapter.
@@ -148,7 +150,11 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            AttemptEnd::NotSent | AttemptEnd::Full(_) | AttemptEnd::Lacking | AttemptEnd::Replaced
+            AttemptEnd::NotSent
+                | AttemptEnd::Withheld
+                | AttemptEnd::Full(_)
+                | AttemptEnd::Lacking
+                | AttemptEnd::Replaced
         )
     }
 }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -9,14 +9,14 @@
 use base::{ModelName, Revision, SortedMap, TargetName, TeamName, Time};
 use fleet::{
     EngineModel, EngineOrder, EngineReport, EngineShape, FleetLayout, ModelRef, OrderReply,
-    StoreChange, SyncReply, SyncReport, TargetEntry,
+    StoreChange, SyncReply, SyncReport, TargetDeparture, TargetEntry, TargetPhase,
 };
 
 use crate::config::{LeadConfig, LeadTerm};
 use crate::copies::CopyMemory;
 use crate::demand::DemandTable;
 use crate::ledger::{LoadGoal, TargetLedger};
-use crate::news::NewsLog;
+use crate::news::{NewsLog, TargetNews};
 use crate::pool::{SeatRoster, SeatTable, TokenPool};
 use crate::relay::ChangeLog;
 use crate::window::LoadWindow;
@@ -253,6 +253,22 @@
         }
     }
 
+    /// Takes a target's own word that it leaves, as one daemon has it, for the others.
+    pub fn departed(&mut self, now: Time, departure: &TargetDeparture) {
+        self.news.push(now, TargetNews::Leaving(departure.clone()));
+        let ledger = self.targets.get_mut(&departure.target);
+        if let Some(ledger) = ledger.filter(|l| l.entry.born_ms <= departure.born_ms) {
+            ledger.entry.phase = TargetPhase::Leaving { left: None };
+        }
+    }
+
+    /// Takes a target's word that it wants nothing from this host until a moment.
+    pub fn spared(&mut self, target: &TargetName, until: Time) {
+        if let Some(ledger) = self.targets.get_mut(target) {
+            ledger.spared(until);
+        }
+    }
+
     fn shape(&self, entry: &TargetEntry) -> Option<&EngineShape> {
         self.layout.as_ref()?.service(&entry.service)?.engine.as_ref()
     }
@@ -290,10 +306,22 @@
         let outlooks = waiting.map(|entry| self.outlook(now, &entry.model)).collect();
         for (name, ledger) in self.targets.iter_mut() {
             for (model, is_held) in ledger.news.drain(..) {
-                self.news.push(now, name, &model, is_held);
+                let news = match is_held {
+                    true => TargetNews::Held(name.clone(), model),
+                    false => TargetNews::Retiring(name.clone(), model),
+                };
+                self.news.push(now, news);
+            }
+        }
+        report.leaving.iter().for_each(|departure| self.departed(now, departure));
+        let (mut held, mut retiring, mut leaving) = (Vec::new(), Vec::new(), Vec::new());
+        for news in self.news.tell(now, report) {
+            match news {
+                TargetNews::Held(target, model) => held.push((target, model)),
+                TargetNews::Retiring(target, model) => retiring.push((target, model)),
+                TargetNews::Leaving(departure) => leaving.push(departure),
             }
         }
-        let (held, retiring) = self.news.tell(now, report);
         SyncReply {
             fence: self.term.fence,
             number: report.number,
@@ -302,6 +330,7 @@
             outlooks,
             held,
             retiring,
+            leaving,
             changes: self.changes.since(now, report.known),
         }
     }
--- a/crates/lead/src/lead/plan.rs
+++ b/crates/lead/src/lead/plan.rs
@@ -200,7 +200,7 @@
     /// for those that nobody holds.
     pub(super) fn plan_loads(&mut self, now: Time) {
         let soon = self.planned_at.is_some_and(|at| now.since(at) < self.plan_pause());
-        if soon || !self.may_order(now) || !self.targets.values().any(TargetLedger::is_idle) {
+        if soon || !self.may_order(now) || !self.targets.values().any(|ledger| ledger.is_idle(now)) {
             return;
         }
         self.planned_at = Some(now);
@@ -277,7 +277,7 @@
             backlog.waiting += self.demand.waiting(now, model);
             let Some((shape, description)) = self.model(model) else { continue };
             let holders = self.copy_holders(shape, description);
-            match holders.iter().map(|(ledger, _)| ledger.is_idle()).max() {
+            match holders.iter().map(|(ledger, _)| ledger.is_idle(now)).max() {
                 Some(true) => backlog.on_idle_disk += 1,
                 Some(false) => backlog.on_busy_disk += 1,
                 None => {}
@@ -305,7 +305,7 @@
             if ledger.holds(model) {
                 continue;
             }
-            if !ledger.is_idle() {
+            if !ledger.is_idle(now) {
                 is_busy = true;
                 continue;
             }
@@ -338,7 +338,7 @@
             return false;
         }
         let mut best: Option<LoadChoice> = None;
-        for ledger in self.targets.values().filter(|ledger| ledger.is_idle()) {
+        for ledger in self.targets.values().filter(|ledger| ledger.is_idle(now)) {
             let fits = self.shape(&ledger.entry).is_some_and(|s| s.models.contains(model));
             if fits && !ledger.holds(model) {
                 let choice =
--- a/crates/lead/src/ledger.rs
+++ b/crates/lead/src/ledger.rs
@@ -84,6 +84,8 @@
     down: bool,
     suspected: bool,
     polled_at: Time,
+    /// Until when the target wants nothing from this host, by its own word.
+    spared_until: Time,
 }
 
 impl TargetLedger {
@@ -108,6 +110,7 @@
             down: false,
             suspected: false,
             polled_at: now,
+            spared_until: now,
         }
     }
 
@@ -132,8 +135,9 @@
     }
 
     /// Returns whether the target takes orders and its state is known.
-    pub(crate) fn is_idle(&self) -> bool {
+    pub(crate) fn is_idle(&self, now: Time) -> bool {
         self.is_ready()
+            && now >= self.spared_until
             && self.sequence.is_some()
             && self.pending.is_none()
             && self.running.is_none()
@@ -190,9 +194,15 @@
         total - weights - self.adapters.size_mb(models)
     }
 
+    /// Takes the target's word that it wants nothing from this host until a moment.
+    pub(crate) fn spared(&mut self, until: Time) {
+        self.spared_until = self.spared_until.max(until);
+    }
+
     /// Returns whether a report should be asked for now, and notes that it is.
     pub(crate) fn take_poll(&mut self, now: Time) -> bool {
-        if !self.needs_report() || self.asking || now < self.next_report {
+        let from = self.next_report.max(self.spared_until);
+        if !self.needs_report() || self.asking || now < from {
             return false;
         }
         self.asking = true;
@@ -202,7 +212,8 @@
 
     /// Returns when a report will be needed, if one will.
     pub(crate) fn poll_at(&self) -> Option<Time> {
-        (self.needs_report() && !self.asking).then_some(self.next_report)
+        let from = self.next_report.max(self.spared_until);
+        (self.needs_report() && !self.asking).then_some(from)
     }
 
     fn needs_report(&self) -> bool {
@@ -320,6 +331,9 @@
         adapter_places: usize,
     ) -> Option<(OrderKind, ModelRef, OrderSequence)> {
         let expected = self.sequence?;
+        if now < self.spared_until {
+            return None;
+        }
         if self.pending.is_some() || self.running.is_some() || self.busy || !self.is_ready() {
             return None;
         }
@@ -405,7 +419,7 @@
         match &self.goal {
             Some(goal) if goal.from_store => None,
             Some(goal) => Some(goal.ready_at.max(now)),
-            None => self.is_idle().then_some(now),
+            None => self.is_idle(now).then_some(now),
         }
     }
 
--- a/crates/lead/src/news.rs
+++ b/crates/lead/src/news.rs
@@ -1,24 +1,51 @@
-//! Replicas that came or go, told to each daemon once.
+//! Replicas that came or go, and targets that leave, told to each daemon once.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::{ModelName, Name, SortedMap, TargetName, Time};
-use fleet::SyncReport;
+use fleet::{SyncReport, TargetDeparture};
 
-/// By then the targets' entries say so.
-const NEWS_SPAN: Duration = Duration::from_millis(2_500);
+/// By then the targets' entries say what they hold.
+const REPLICA_SPAN: Duration = Duration::from_millis(2_500);
+/// By then the store doesn't list a target any more that leaves.
+const DEPARTURE_SPAN: Duration = Duration::from_secs(60);
 
-/// Replicas by target and model.
-type ReplicaList = Vec<(TargetName, ModelName)>;
+/// Something that daemons should know before the store says so.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TargetNews {
+    /// A target holds a model.
+    Held(TargetName, ModelName),
+    /// A target is about to drop a model.
+    Retiring(TargetName, ModelName),
+    /// A target leaves by its own word.
+    Leaving(TargetDeparture),
+}
+
+impl TargetNews {
+    fn life(&self) -> Duration {
+        match self {
+            TargetNews::Held(..) | TargetNews::Retiring(..) => REPLICA_SPAN,
+            TargetNews::Leaving(_) => DEPARTURE_SPAN,
+        }
+    }
+
+    /// Returns what it is about; newer news of the same replaces it.
+    fn subject(&self) -> (&TargetName, Option<&ModelName>) {
+        match self {
+            TargetNews::Held(target, model) | TargetNews::Retiring(target, model) => {
+                (target, Some(model))
+            }
+            TargetNews::Leaving(departure) => (&departure.target, None),
+        }
+    }
+}
 
-/// One replica's latest change.
+/// One piece of news.
 #[derive(Clone, Debug)]
 struct NewsItem {
     number: u64,
-    target: TargetName,
-    model: ModelName,
-    is_held: bool,
+    news: TargetNews,
     at: Time,
 }
 
@@ -41,25 +68,19 @@
 }
 
 impl NewsLog {
-    /// Notes that a target holds a model from now on, or will drop it.
-    pub(crate) fn push(&mut self, now: Time, target: &TargetName, model: &ModelName, held: bool) {
-        self.items.retain(|item| item.target != *target || item.model != *model);
+    /// Notes something that is true from now on.
+    pub(crate) fn push(&mut self, now: Time, news: TargetNews) {
+        if self.items.iter().any(|item| item.news == news && item.news.subject().1.is_none()) {
+            return;
+        }
+        self.items.retain(|item| item.news.subject() != news.subject());
         self.last += 1;
-        self.items.push_back(NewsItem {
-            number: self.last,
-            target: target.clone(),
-            model: model.clone(),
-            is_held: held,
-            at: now,
-        });
+        self.items.push_back(NewsItem { number: self.last, news, at: now });
     }
 
-    /// Returns the replicas that are held and those that go, as far as a daemon's report doesn't
-    /// show that it was told.
-    pub(crate) fn tell(&mut self, now: Time, report: &SyncReport) -> (ReplicaList, ReplicaList) {
-        while self.items.front().is_some_and(|item| now.since(item.at) >= NEWS_SPAN) {
-            self.items.pop_front();
-        }
+    /// Returns what a daemon's report doesn't show that it was told.
+    pub(crate) fn tell(&mut self, now: Time, report: &SyncReport) -> Vec<TargetNews> {
+        self.items.retain(|item| now.since(item.at) < item.news.life());
         let mark = self.told.entry(report.host.clone(), ToldMark::default);
         if mark.incarnation != report.incarnation {
             *mark = ToldMark { incarnation: report.incarnation, ..ToldMark::default() };
@@ -69,11 +90,7 @@
         }
         mark.reply = (report.number, self.last);
         let known = mark.known;
-        let of = |held: bool| {
-            let items = self.items.iter().filter(|item| item.number > known);
-            let items = items.filter(|item| item.is_held == held);
-            items.map(|item| (item.target.clone(), item.model.clone())).collect()
-        };
-        (of(true), of(false))
+        let newer = self.items.iter().filter(|item| item.number > known);
+        newer.map(|item| item.news.clone()).collect()
     }
 }
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -123,6 +123,7 @@
         demand,
         used: Vec::new(),
         suspects: Vec::new(),
+        leaving: Vec::new(),
         draws: Vec::new(),
     }
 }
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Starts a server again under its name, at another address and with a later birth.
+    pub async fn restart_server(&mut self, id: &str) {
+        let at = self.servers.iter().position(|server| server.id == id).unwrap();
+        let (service, zone) = (self.servers[at].service.clone(), self.servers[at].zone.clone());
+        self.servers[at] = StandinServer::start(id, &service, &zone, &[]).await;
+        self.servers[at].set_later_birth();
+        self.beat();
+    }
+
     async fn add_front(&mut self, number: usize) {
         let store = FaultProxy::start(self.store.address()).await.unwrap();
         let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -81,6 +81,7 @@
 fn end_name(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Withheld => "withheld",
         AttemptEnd::Full(_) => "full",
         AttemptEnd::Lacking => "lacking",
         AttemptEnd::Replaced => "replaced",
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::Time;
+use base::{TargetName, Time};
 use bytes::Bytes;
 use daemon::boot_time;
 use front::{AttemptEnd, Dispatch};
@@ -11,12 +11,15 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use platform::request::{answer_headers, forward_headers, read_answer, AnswerHead, SendMarks};
+use platform::request::{
+    answer_headers, forward_headers, read_answer, AnswerHead, SendMarks, TargetWord,
+};
 
 use crate::answer::WholeAnswer;
 use crate::events::EventCutter;
 use crate::host::{sleep_until, Host};
 use crate::link::{Link, LinkError};
+use crate::trail::Line;
 
 /// How long a connection to a target may take; a live one answers within a few milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
@@ -87,8 +90,11 @@
         }
     };
     let now = boot_time();
-    if now >= deadline || now.since(decided) > DECISION_LIFE {
-        return Outcome::End(AttemptEnd::NotSent);
+    // The target may have left, or asked to be spared, while the connection was made or the process
+    // was held up.
+    let may_send = host.desk.borrow().book().may_send(now, &dispatch.target);
+    if now >= deadline || now.since(decided) > DECISION_LIFE || !may_send {
+        return Outcome::End(AttemptEnd::Withheld);
     }
     let marks = SendMarks {
         target: &dispatch.target,
@@ -140,7 +146,12 @@
     response: Response<Incoming>,
     link: Link,
 ) -> Outcome {
-    let head = read_answer(response.headers(), request.attempt.as_ref());
+    let head = read_answer(response.status(), response.headers(), request.attempt.as_ref());
+    let teller = head.instance.as_ref().unwrap_or(&dispatch.target);
+    // Another server at the address, which need not tell who it is, refuses with this status.
+    if head.instance.is_some() || response.status() != StatusCode::MISDIRECTED_REQUEST {
+        take_word(host, teller, head.word);
+    }
     if let Some(end) = judge(&head, response.status(), dispatch) {
         if end.is_not_run() && end != AttemptEnd::Replaced {
             // A refusal is short; its connection can be used again once it is read.
@@ -176,6 +187,27 @@
     Outcome::Whole(answer)
 }
 
+/// Takes what a target asks of this daemon with any of its answers.
+pub(crate) fn take_word(host: &Host, target: &TargetName, word: TargetWord) {
+    let now = boot_time();
+    if word.is_leaving && host.desk.borrow_mut().target_leaves(now, target) {
+        Line::new("target_leaves").text("target", target).with("source", "its answer").info();
+        crate::orders::targets_changed(host);
+        host.sync.notify_one();
+    }
+    if let Some(span) = word.spare {
+        let until = host.desk.borrow_mut().target_spared(now, target, span);
+        if let Some(leading) = host.leading.borrow_mut().as_mut() {
+            leading.lead.spared(target, until);
+        }
+        Line::new("target_spared")
+            .text("target", target)
+            .with("asked_ms", span.as_millis() as u64)
+            .with("until_ms", until.since(now).as_millis() as u64)
+            .info();
+    }
+}
+
 /// Returns how the attempt ended if the answer isn't the request's.
 fn judge(head: &AnswerHead, status: StatusCode, dispatch: &Dispatch) -> Option<AttemptEnd> {
     if status == StatusCode::MISDIRECTED_REQUEST && !head.sealed {
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -109,12 +109,12 @@
         address: SocketAddr,
         call: &HttpCall,
         extra: Option<(HeaderName, HeaderValue)>,
-    ) -> Result<(u16, Bytes), LinkError> {
+    ) -> Result<Response<Bytes>, LinkError> {
         let request = to_request(address, call, extra).ok_or(LinkError::NotSent)?;
-        let response = self.exchange(request).await?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-        body.map(|body| (status, body.to_bytes())).map_err(|_| LinkError::Lost)
+        let (head, body) = self.exchange(request).await?.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|_| LinkError::Lost)?.to_bytes();
+        Ok(Response::from_parts(head, body))
     }
 }
 
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -9,8 +9,9 @@
 use fleet::{EngineOrder, OrderReply, TargetEntry};
 use lead::{Lead, LeadAction, LeadNote};
 use platform::engine::{instance_header, order_call, order_reply, report_call, report_reply};
+use platform::request::read_word;
 
-use crate::exchange::IDLE_LIMIT;
+use crate::exchange::{take_word, IDLE_LIMIT};
 use crate::host::{sleep_until, Host, LOOP_PAUSE};
 use crate::link::{Link, LinkError};
 use crate::peer::CONNECT_LIMIT;
@@ -132,8 +133,9 @@
         host.pool.borrow_mut().put(boot_time(), address, link);
         Some(answer)
     };
-    let (status, body) = tokio::time::timeout(ENGINE_LIMIT, exchange).await.ok()??;
-    match report_reply(status, &body) {
+    let answer = tokio::time::timeout(ENGINE_LIMIT, exchange).await.ok()??;
+    take_word(host, target, read_word(answer.status(), answer.headers()));
+    match report_reply(answer.status().as_u16(), answer.body()) {
         Ok(report) => Some(report),
         Err(error) => {
             Line::new("report_unread").text("target", target).text("error", &error).info();
@@ -165,9 +167,10 @@
     let call = order_call(order);
     let sending = link.call(address, &call, instance_header(&order.target));
     match tokio::time::timeout(ENGINE_LIMIT, sending).await {
-        Ok(Ok((status, _))) => {
+        Ok(Ok(answer)) => {
             host.pool.borrow_mut().put(boot_time(), address, link);
-            order_reply(status)
+            take_word(host, &order.target, read_word(answer.status(), answer.headers()));
+            order_reply(answer.status().as_u16())
         }
         Ok(Err(LinkError::NotSent)) => OrderReply::NotSent,
         Ok(Err(LinkError::Lost)) | Err(_) => OrderReply::Unknown,
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -155,9 +155,9 @@
             Some(link) => link,
             None => Link::open(address, CONNECT_LIMIT).await?,
         };
-        let (status, body) = link.call(address, &call, None).await.ok()?;
+        let answer = link.call(address, &call, None).await.ok()?;
         host.pool.borrow_mut().put(boot_time(), address, link);
-        (status == 200).then_some(body)
+        (answer.status() == StatusCode::OK).then(|| answer.into_body())
     };
     match tokio::time::timeout(limit, exchange).await {
         Ok(body) => serde_json::from_slice(&body?).ok(),
--- a/crates/serve/src/seat.rs
+++ b/crates/serve/src/seat.rs
@@ -45,6 +45,10 @@
 
 const CLAIM_HANDICAP: Duration = Duration::from_millis(400);
 
+/// Departures that a new leader passes on were learnt within this time: the store doesn't list
+/// older ones any more.
+const DEPARTURE_SPAN: Duration = Duration::from_secs(60);
+
 /// The value of the leader's key.
 #[derive(Serialize, Deserialize)]
 struct LeaderDoc {
@@ -229,6 +233,8 @@
     if let Some(layout) = host.desk.borrow().layout() {
         lead.layout_changed(now, layout.clone());
     }
+    let departures = host.desk.borrow().book().departures(now, DEPARTURE_SPAN);
+    departures.iter().for_each(|departure| lead.departed(now, departure));
     Line::new("leads")
         .with("fence", fence.0)
         .with("orders_in_ms", orders_from.since(now).as_millis() as u64)
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -122,7 +122,7 @@
         match answer {
             Ok(Ok(answer)) => {
                 self.pool.borrow_mut().put(boot_time(), self.address, link);
-                Ok(answer)
+                Ok((answer.status().as_u16(), answer.into_body()))
             }
             Ok(Err(LinkError::NotSent)) => Err(StoreError::NotSent),
             Ok(Err(LinkError::Lost)) => Err(StoreError::Lost),
