--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,8 +38,8 @@
     RouteEntry, RouteKind, ServiceEntry, ServiceWeight, TeamEntry,
 };
 pub use sync::{
-    AdapterAsk, AdapterReply, CostAsk, ModelDemand, ModelOutlook, SyncReply, SyncReport, TeamDraw,
-    TeamGrant,
+    AdapterAsk, AdapterReply, CostAsk, ModelDemand, ModelOutlook, SyncReply, SyncReport,
+    TargetRuns, TeamDraw, TeamGrant,
 };
 pub use target::{
     HeldModel, ModelRef, PromptPart, TargetDeparture, TargetEntry, TargetLoad, TargetPhase,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -46,6 +46,17 @@
     pub returned: f64,
 }
 
+/// Requests of some daemons on one target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetRuns {
+    /// Target.
+    pub target: TargetName,
+    /// Requests on it.
+    pub running: u32,
+    /// Work that it has before it begins to answer the last of them, in milliseconds.
+    pub pending_ms: u32,
+}
+
 /// A daemon's report to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SyncReport {
@@ -63,6 +74,9 @@
     pub demand: Vec<ModelDemand>,
     /// Models and adapters that requests run on or were sent to, with their targets.
     pub used: Vec<(TargetName, ModelRef)>,
+    /// Requests of this daemon by target.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub runs: Vec<TargetRuns>,
     /// Targets that this daemon finds dead.
     pub suspects: Vec<TargetName>,
     /// Targets whose own word that they leave this daemon has, as far as no leader has answered.
@@ -111,6 +125,9 @@
     pub grants: Vec<TeamGrant>,
     /// Outlooks for the models that the report's requests wait for.
     pub outlooks: Vec<ModelOutlook>,
+    /// Requests of the other daemons on the busiest targets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub busy: Vec<TargetRuns>,
     /// Replicas that finished loading a short time ago.
     pub held: Vec<(TargetName, ModelName)>,
     /// Replicas that are about to be unloaded.
--- a/crates/front/src/book.rs
+++ b/crates/front/src/book.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{DomainName, ModelName, Name, SortedMap, TargetName, Time};
-use fleet::{ModelRef, TargetDeparture, TargetEntry, TargetLoad, TargetPhase};
+use fleet::{ModelRef, TargetDeparture, TargetEntry, TargetLoad, TargetPhase, TargetRuns};
 
 use crate::record::PartRecord;
 use crate::ticket::AttemptEnd;
@@ -14,6 +14,8 @@
 const REPLACED_SPAN: Duration = Duration::from_secs(5);
 /// What a target said of its load counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(1_000);
+/// What the leader says of other daemons' requests counts for this long: two answers may be lost.
+const FLEET_LIFE: Duration = Duration::from_millis(2_000);
 /// What the leader says of a target's holdings goes before an older listing for this long: a
 /// target lists changes with its next beat or two, and the leader passes a listing on within a
 /// report's interval.
@@ -75,6 +77,8 @@
     lapsed_until: Option<Time>,
     runs: Vec<OwnRun>,
     load: Option<(TargetLoad, Time, u32)>,
+    /// Other daemons' requests, by the leader: their number, and the work before them.
+    fleet: Option<(u32, Duration)>,
     failures: u32,
     failure_share: f64,
     avoid_until: Time,
@@ -96,6 +100,7 @@
             lapsed_until: None,
             runs: Vec::new(),
             load: None,
+            fleet: None,
             failures: 0,
             failure_share: 0.0,
             avoid_until: now,
@@ -174,14 +179,20 @@
         self.runs.len()
     }
 
-    /// Returns the requests of other daemons, by the target's last answer.
+    /// Returns the requests of other daemons, by the target's last answer and by the leader.
     pub(crate) fn others(&self, now: Time) -> u32 {
-        match self.load {
+        let told = match self.load {
             Some((load, at, own)) if now.since(at) < LOAD_LIFE => {
                 (load.running + load.waiting).saturating_sub(own)
             }
             _ => 0,
-        }
+        };
+        told.max(self.fleet.map_or(0, |(running, _)| running))
+    }
+
+    /// Returns the work that the target has for other daemons before it begins with another request.
+    pub(crate) fn others_work(&self) -> Duration {
+        self.fleet.map_or(Duration::ZERO, |(_, pending)| pending)
     }
 
     /// Returns how many requests waited there, by the target's last answer.
@@ -217,6 +228,8 @@
     heard: SortedMap<DomainName, Time>,
     /// Targets that left by their own word, with their starts and when that was learnt.
     departed: SortedMap<TargetName, (u64, Time)>,
+    /// When the leader last told of other daemons' requests.
+    fleet_at: Option<Time>,
 }
 
 impl TargetBook {
@@ -352,6 +365,36 @@
         }
     }
 
+    /// Returns this daemon's requests by target.
+    pub fn runs(&self, now: Time) -> Vec<TargetRuns> {
+        let used = self.targets.iter().filter(|(_, state)| !state.runs.is_empty());
+        let runs = used.map(|(target, state)| TargetRuns {
+            target: target.clone(),
+            running: u32::try_from(state.runs.len()).unwrap_or(u32::MAX),
+            pending_ms: u32::try_from(state.backlog(now).as_millis()).unwrap_or(u32::MAX),
+        });
+        runs.collect()
+    }
+
+    /// Takes the leader's word on other daemons' requests; targets that it doesn't name have few.
+    pub fn fleet_told(&mut self, now: Time, busy: &[TargetRuns]) {
+        self.targets.values_mut().for_each(|state| state.fleet = None);
+        for runs in busy {
+            if let Some(state) = self.targets.get_mut(&runs.target) {
+                let pending = Duration::from_millis(u64::from(runs.pending_ms));
+                state.fleet = Some((runs.running, pending));
+            }
+        }
+        self.fleet_at = Some(now);
+    }
+
+    /// Forgets the leader's word on other daemons' requests once it is old.
+    pub(crate) fn expire_fleet(&mut self, now: Time) {
+        if self.fleet_at.take_if(|at| now.since(*at) >= FLEET_LIFE).is_some() {
+            self.targets.values_mut().for_each(|state| state.fleet = None);
+        }
+    }
+
     /// Returns when the first of a service's targets that want to be spared will take requests, if
     /// there is one that could serve a model.
     pub(crate) fn spare_end(
--- a/crates/front/src/choose.rs
+++ b/crates/front/src/choose.rs
@@ -34,6 +34,12 @@
 const DOMAIN_SPAN: Duration = Duration::from_millis(2);
 /// Work of a plain request until observations tell.
 const PLAIN_WORK: Duration = Duration::from_millis(20);
+/// Targets are drawn by their scores to the power of the first, and of the second divided by the
+/// number of daemons besides.
+const LEAST_EXPONENT: f64 = 2.5;
+const SOLE_EXPONENT: f64 = 160.0;
+/// Added to each score: differences below it matter little.
+const SCORE_FLOOR: Duration = Duration::from_millis(10);
 /// Weight of one observation in a learned time.
 const LEARN_WEIGHT: f64 = 0.1;
 /// Least and most by which a model's pace may differ from the common one.
@@ -58,6 +64,8 @@
     paces: SortedMap<ModelName, f64>,
     /// Work by service.
     works: SortedMap<Name, Duration>,
+    /// Daemons of the fleet.
+    pub(crate) seats: u32,
     random: SmallRng,
 }
 
@@ -67,6 +75,7 @@
             domain,
             paces: SortedMap::default(),
             works: SortedMap::default(),
+            seats: 1,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -148,7 +157,9 @@
             let kept = state.record.kept(now, &ticket.chain);
             let read = ticket.chain.tokens().saturating_sub(kept);
             let waiting = WAITING_SPAN * state.waiting(now).min(100);
-            let running = u32::try_from(state.own()).unwrap_or(u32::MAX).max(state.others(now));
+            let waiting = waiting.max(state.others_work());
+            let own = u32::try_from(state.own()).unwrap_or(u32::MAX);
+            let running = own.saturating_add(state.others(now));
             let batch = Duration::from_micros(150) * running.min(1_000);
             let adapter = if state.holds(now, subject) { Duration::ZERO } else { ADAPTER_SPAN };
             let estimate =
@@ -166,6 +177,23 @@
         self.best(now, scored, work, |state| !state.holds(now, subject))
     }
 
+    /// Draws one of some scores, low ones more often. The fewer of the requests for a target a daemon
+    /// sees, the less it should rely on the least score: all daemons would choose the same target.
+    fn draw_by(&mut self, scores: &[Duration]) -> Option<usize> {
+        let exponent = LEAST_EXPONENT + SOLE_EXPONENT / f64::from(self.seats.max(1));
+        let least = scores.iter().min()?.as_secs_f64() + SCORE_FLOOR.as_secs_f64();
+        let weight = |score: &Duration| {
+            let score = score.as_secs_f64() + SCORE_FLOOR.as_secs_f64();
+            (least / score).powf(exponent)
+        };
+        let mut rest = self.draw() * scores.iter().map(weight).sum::<f64>();
+        let drawn = scores.iter().position(|score| {
+            rest -= weight(score);
+            rest <= 0.0
+        });
+        Some(drawn.unwrap_or(scores.len() - 1))
+    }
+
     fn penalty(&self, now: Time, state: &TargetState) -> Duration {
         let far = state.entry.domain != self.domain;
         FAILURE_SPAN.mul_f64(state.failure_share())
@@ -183,17 +211,10 @@
     ) -> Option<Choice> {
         let candidates = scored.len();
         let open: Vec<_> = scored.iter().filter(|(_, state, ..)| !state.is_avoided(now)).collect();
-        let least = open.iter().map(|(score, ..)| *score).min();
-        // Ties are drawn, so that daemons don't all choose the same target.
-        let near: Vec<_> = open
-            .iter()
-            .filter(|(score, ..)| {
-                least.is_some_and(|least| *score <= least + Duration::from_millis(1))
-            })
-            .collect();
-        let (_, state, estimate, kept) = match near.len() {
-            0 => scored.iter().min_by_key(|(_, state, ..)| state.avoided_until())?,
-            count => near[self.random.random_range(0..count)],
+        let scores: Vec<Duration> = open.iter().map(|(score, ..)| *score).collect();
+        let (_, state, estimate, kept) = match self.draw_by(&scores) {
+            None => scored.iter().min_by_key(|(_, state, ..)| state.avoided_until())?,
+            Some(at) => open[at],
         };
         Some(Choice {
             target: state.entry.name.clone(),
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -208,6 +208,7 @@
     /// Sets the number of daemons, by the store's list of them.
     pub fn set_seats(&mut self, seats: u32) {
         self.seats = seats.max(1);
+        self.chooser.seats = self.seats;
     }
 
     /// Returns the fencing number of the leader that was heard last, and when.
--- a/crates/front/src/desk/step.rs
+++ b/crates/front/src/desk/step.rs
@@ -98,6 +98,7 @@
         let Some(ticket) = self.tickets.get(&id) else {
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
+        self.book.expire_fleet(now);
         let Some(choice) = self.chooser.plain(now, ticket, &self.book) else {
             if let Some(step) = self.spare(now, ticket, None) {
                 return step;
@@ -115,6 +116,7 @@
         let Some(ticket) = self.tickets.get(&id) else {
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
+        self.book.expire_fleet(now);
         let choice = self.chooser.engine(now, ticket, subject, &self.book);
         if let Some(choice) = choice {
             self.wants.leaves(&subject.model, id);
--- a/crates/front/src/desk/sync.rs
+++ b/crates/front/src/desk/sync.rs
@@ -55,6 +55,7 @@
             draws: draws.collect(),
             demand,
             used,
+            runs: self.book.runs(now),
             suspects: self.book.dead(now),
             leaving: self.tell_leaving(),
         }
@@ -83,12 +84,13 @@
         self.fence = reply.fence;
         self.heard_at = self.heard_at.max(asked_at);
         self.acknowledged = reply.number;
-        self.seats = self.seats.max(reply.seats);
+        self.set_seats(self.seats.max(reply.seats));
         for grant in &reply.grants {
             if let Some(purse) = self.purses.get_mut(&grant.team) {
                 purse.granted(now, asked_at, grant);
             }
         }
+        self.book.fleet_told(now, &reply.busy);
         for outlook in &reply.outlooks {
             self.wants.told(now, outlook);
         }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -16,6 +16,7 @@
 use crate::copies::CopyMemory;
 use crate::demand::DemandTable;
 use crate::ledger::{LoadGoal, TargetLedger};
+use crate::loads::LoadTable;
 use crate::news::{NewsLog, TargetNews};
 use crate::pool::{SeatRoster, SeatTable, TokenPool};
 use crate::relay::ChangeLog;
@@ -120,6 +121,7 @@
     addresses: SortedMap<SocketAddr, TargetName>,
     initial: SortedMap<ModelName, usize>,
     demand: DemandTable,
+    loads: LoadTable,
     window: LoadWindow,
     seats: SeatTable,
     pools: SortedMap<TeamName, TokenPool>,
@@ -151,6 +153,7 @@
             addresses: SortedMap::default(),
             initial: SortedMap::default(),
             demand: DemandTable::default(),
+            loads: LoadTable::default(),
             seats: SeatTable::default(),
             pools: SortedMap::default(),
             changes: ChangeLog::default(),
@@ -283,6 +286,7 @@
         let numbers = (report.number, report.acknowledged);
         self.seats.reported(now, &report.host, report.incarnation, numbers);
         self.demand.reported(now, &report.host, &report.demand);
+        self.loads.reported(now, &report.host, &report.runs);
         for (target, subject) in &report.used {
             if let Some(ledger) = self.targets.get_mut(target) {
                 ledger.note_use(now, subject);
@@ -328,6 +332,7 @@
             seats: u32::try_from(seats).unwrap_or(u32::MAX),
             grants,
             outlooks,
+            busy: self.loads.busiest(&report.host),
             held,
             retiring,
             leaving,
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -36,6 +36,7 @@
 mod demand;
 mod lead;
 mod ledger;
+mod loads;
 mod news;
 mod pool;
 mod relay;
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -122,6 +122,7 @@
         known: base::Revision(0),
         demand,
         used: Vec::new(),
+        runs: Vec::new(),
         suspects: Vec::new(),
         leaving: Vec::new(),
         draws: Vec::new(),
