Give orders on connections of their own, so that a copied answer isn't taken for theirs

Their answers name no request: a late second copy of a caller's answer was read as the answer to an order.

Change: an order has a fresh connection; reports keep theirs apart, where a copy is an older report, which its number shows. A request without an identity isn't sent on a kept connection.

--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -87,6 +87,8 @@
     let idle = if dispatch.repeatable { IDLE_LIMIT } else { SURE_IDLE_LIMIT };
     let kept = host.pool.borrow_mut().take(decided, dispatch.address, idle);
     let kept = kept.filter(|link| dispatch.repeatable || link.keep_alive.is_some());
+    // The answer to a request without an identity can't be told from a late copy of another one.
+    let kept = kept.filter(|_| request.attempt.is_some());
     let mut link = match kept {
         Some(link) => link,
         None => {
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -326,6 +326,7 @@
                 let address = desk.book().entry(&name).map(|entry| entry.address);
                 if let Some(address) = address {
                     self.host.pool.borrow_mut().forget(address);
+                    self.host.report_pool.borrow_mut().forget(address);
                 }
                 Line::new("target_gone").text("target", &name).info();
                 desk.book_mut().removed(&name)
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -41,6 +41,9 @@
     pub(crate) incarnation: u64,
     pub(crate) desk: RefCell<Desk>,
     pub(crate) pool: RefCell<LinkPool>,
+    /// Connections that carry engines' reports only: a late copy of one is an older report, which
+    /// its number shows.
+    pub(crate) report_pool: RefCell<LinkPool>,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
     pub(crate) dropped: DropCount,
@@ -82,6 +85,7 @@
             incarnation,
             desk: RefCell::new(Desk::new(boot_time(), config)),
             pool: RefCell::default(),
+            report_pool: RefCell::default(),
             store: StoreClient::new(settings.store, settings.call_timeout),
             metrics,
             dropped,
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -1,6 +1,5 @@
 //! Carries out the leader's plan: orders to engines, and their reports.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -128,9 +127,13 @@
 async fn report(host: &Host, target: &TargetName) -> Option<fleet::EngineReport> {
     let address = host.desk.borrow().book().entry(target)?.address;
     let exchange = async {
-        let mut link = control_link(host, address).await?;
+        let kept = host.report_pool.borrow_mut().take(boot_time(), address, IDLE_LIMIT / 4);
+        let mut link = match kept {
+            Some(link) => link,
+            None => Link::open(address, CONNECT_LIMIT).await?,
+        };
         let answer = link.call(address, &report_call(), instance_header(target)).await.ok()?;
-        host.pool.borrow_mut().put(boot_time(), address, link);
+        host.report_pool.borrow_mut().put(boot_time(), address, link);
         Some(answer)
     };
     let answer = tokio::time::timeout(ENGINE_LIMIT, exchange).await.ok()??;
@@ -144,19 +147,15 @@
     }
 }
 
-async fn control_link(host: &Host, address: SocketAddr) -> Option<Link> {
-    let kept = host.pool.borrow_mut().take(boot_time(), address, IDLE_LIMIT / 4);
-    match kept {
-        Some(link) => Some(link),
-        None => Link::open(address, CONNECT_LIMIT).await,
-    }
-}
-
 async fn give(host: &Host, order: &EngineOrder) -> OrderReply {
     let Some(address) = host.desk.borrow().book().entry(&order.target).map(|e| e.address) else {
         return OrderReply::NotSent;
     };
-    let Some(mut link) = control_link(host, address).await else { return OrderReply::NotSent };
+    // Answers to orders don't say which order they answer: a late copy of another one must find no
+    // connection in use.
+    let Some(mut link) = Link::open(address, CONNECT_LIMIT).await else {
+        return OrderReply::NotSent;
+    };
     // The term may have ended, or the process have been held up, since the order was planned.
     let may_order = host.leading.borrow().as_ref().is_some_and(|leading| {
         leading.lead.term().fence == order.fence && leading.lead.may_order(boot_time())
@@ -168,7 +167,6 @@
     let sending = link.call(address, &call, instance_header(&order.target));
     match tokio::time::timeout(ENGINE_LIMIT, sending).await {
         Ok(Ok(answer)) => {
-            host.pool.borrow_mut().put(boot_time(), address, link);
             take_word(host, &order.target, read_word(answer.status(), answer.headers()));
             order_reply(answer.status().as_u16())
         }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -151,6 +151,7 @@
     loop {
         tokio::time::sleep(LOOP_PAUSE).await;
         host.pool.borrow_mut().expire(boot_time(), IDLE_LIMIT);
+        host.report_pool.borrow_mut().expire(boot_time(), IDLE_LIMIT);
     }
 }
 
