Go on with a daemon's own spending while no leader is heard, and leave a leader that lost the store

Change: without a leader a daemon spends at the rate at which it did before, a part of a pressed team's requests by draw, and ahead what the team leaves unused; the leader leaves out just that for daemons that it doesn't hear. It tells how much of a team's allowance is asked for. A leader whose knowledge of the store is 1.2 s old passes nothing on.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod change;
 mod engine;
 mod layout;
+mod share;
 mod sync;
 mod target;
 
@@ -37,6 +38,7 @@
     Allowance, ClientLimits, EngineModel, EngineShape, FleetLayout, LayoutBuilder, LayoutVersion,
     RouteEntry, RouteKind, ServiceEntry, ServiceWeight, TeamEntry,
 };
+pub use share::{lone_rate, SpendRate, OWN_SPAN};
 pub use sync::{
     AdapterAsk, AdapterReply, CostAsk, ModelDemand, ModelOutlook, SyncReply, SyncReport,
     TargetRuns, TeamDraw, TeamGrant,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -40,6 +40,8 @@
     pub team: TeamName,
     /// Requests that wait.
     pub asks: Vec<CostAsk>,
+    /// What requests cost that arrived since the last draw.
+    pub arrived: f64,
     /// What the next moments will need besides, by recent use.
     pub ahead: f64,
     /// What was granted before and isn't needed.
@@ -100,6 +102,8 @@
     pub amount: f64,
     /// Time until what waits now will have accrued, in milliseconds; 0 when nothing waits.
     pub wait_ms: u64,
+    /// What all daemons were asked for, as a part of the allowance.
+    pub pressure: f64,
 }
 
 /// When a model that requests wait for will be ready.
--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -3,6 +3,8 @@
 mod step;
 mod sync;
 
+pub(crate) use sync::sync_pause;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/front/src/desk/sync.rs
+++ b/crates/front/src/desk/sync.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{Revision, Time};
-use fleet::{SyncReply, SyncReport, TargetDeparture, TeamDraw};
+use fleet::{SyncReply, SyncReport, TargetDeparture};
 
 use super::{Desk, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::purse::TeamPurse;
@@ -12,6 +12,11 @@
 /// Daemons up to which the shorter interval applies; with more of them it grows in proportion.
 const SYNC_SEATS: u32 = 100;
 
+/// Returns the pause between two reports of a daemon that is busy.
+pub(crate) fn sync_pause(seats: u32) -> Duration {
+    (SYNC_INTERVAL.0 * seats.max(SYNC_SEATS) / SYNC_SEATS).min(SYNC_INTERVAL.1)
+}
+
 /// What targets said of their leaving is told to a new leader for this long: by then the store
 /// doesn't list them any more.
 const DEPARTURE_SPAN: Duration = Duration::from_secs(60);
@@ -26,8 +31,7 @@
             || !self.tickets.is_empty()
             || self.purses.values().any(|purse| purse.is_active(now));
         // The leader's work grows with the daemons that report.
-        let busy = SYNC_INTERVAL.0 * self.seats.max(SYNC_SEATS) / SYNC_SEATS;
-        let busy = busy.min(SYNC_INTERVAL.1);
+        let busy = sync_pause(self.seats);
         self.synced_at + if active { busy } else { SYNC_INTERVAL.1 }
     }
 
@@ -42,9 +46,8 @@
         }
         let (demand, used) = self.wants.take(now);
         let draws = self.purses.iter_mut().filter_map(|(team, purse)| {
-            let (asks, ahead, returned) = purse.draw(now);
-            let is_any = !asks.is_empty() || ahead > 1.0 || returned > 0.0;
-            is_any.then(|| TeamDraw { team: team.clone(), asks, ahead, returned })
+            let draw = purse.draw(now);
+            draw.is_any().then(|| draw.of_team(team.clone()))
         });
         SyncReport {
             host: self.config.host.clone(),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -43,6 +43,6 @@
 pub use book::{TargetBook, TargetHealth};
 pub use config::DeskConfig;
 pub use desk::{AfterEnd, Desk, DeskCounts};
-pub use purse::{PayVerdict, PayWish, TeamPurse};
+pub use purse::{PayVerdict, PayWish, PurseDraw, TeamPurse};
 pub use retry::RetryLedger;
 pub use ticket::{Arrival, AttemptEnd, ChoiceNote, Dispatch, FetchEnd, Refusal, Step};
--- a/crates/front/src/purse.rs
+++ b/crates/front/src/purse.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use base::Time;
-use fleet::{Allowance, CostAsk, TeamGrant};
+use base::{TeamName, Time};
+use fleet::{lone_rate, Allowance, CostAsk, SpendRate, TeamDraw, TeamGrant};
+
+use crate::desk::sync_pause;
 
 /// How long a grant may be spent: the allowance can be exceeded in a window by what accrues in
 /// this time, and never in the long run.
@@ -11,8 +13,20 @@
 /// A daemon that has heard nothing from a leader for this long spends its own even share. The
 /// leader stops counting a silent daemon's share as its own before that.
 pub const ALONE_AFTER: Duration = Duration::from_millis(1_800);
-/// While the leader is silent for longer than this, a daemon spends ahead of its own share.
+/// When to come back to a daemon without a leader: by then there is probably one.
+const ALONE_PAUSE: Duration = Duration::from_millis(1_500);
+/// A leader that was not heard for longer than the pause between two reports and this is silent: a
+/// daemon spends ahead of its own share.
 const SILENT_AFTER: Duration = Duration::from_millis(250);
+/// Seconds of its allowance that a team may have in eight of them, with its burst: what it uses less
+/// may be spent ahead.
+const WINDOW_SECONDS: (f64, f64) = (9.0, 8.0);
+/// Least and most that a daemon spends ahead, in seconds of its own spending.
+const AHEAD_SECONDS: (f64, f64) = (0.8, 8.0);
+/// Part of a daemon's own spending that may be spent ahead accrues at, while the leader is heard.
+const REFILL_PART: f64 = 0.5;
+/// Part of the allowance that all daemons together aim at without a leader.
+const LONE_AIM: f64 = 0.9;
 /// Demand is averaged over about this time.
 const DEMAND_SPAN: f64 = 1.0;
 
@@ -42,6 +56,39 @@
     pub draw: u64,
 }
 
+impl PayWish {
+    /// Returns a uniform chance from 0 to 1, the same for all daemons.
+    fn chance(&self) -> f64 {
+        (self.draw >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// What a purse asks the leader for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PurseDraw {
+    /// Requests that wait.
+    pub asks: Vec<CostAsk>,
+    /// What the next grant span will need besides.
+    pub ahead: f64,
+    /// What is given back; it is no longer in the purse.
+    pub returned: f64,
+    /// What requests cost that arrived since the last draw.
+    pub arrived: f64,
+}
+
+impl PurseDraw {
+    /// Returns whether it asks for anything or gives anything back.
+    pub fn is_any(&self) -> bool {
+        !self.asks.is_empty() || self.ahead > 1.0 || self.returned > 0.0 || self.arrived > 0.0
+    }
+
+    /// Returns it as a part of a report.
+    pub fn of_team(self, team: TeamName) -> TeamDraw {
+        let PurseDraw { asks, ahead, returned, arrived } = self;
+        TeamDraw { team, asks, arrived, ahead, returned }
+    }
+}
+
 /// A request that waits for its cost.
 #[derive(Clone, Copy, Debug)]
 struct OpenAsk {
@@ -64,15 +111,20 @@
     granted_until: Time,
     /// Time of the last reply by which requests waited, and how long a further one would.
     empty: Option<(Time, Duration)>,
-    /// Own share while there is no leader: level, time of the last accrual.
-    alone: Option<(f64, Time)>,
-    /// What was spent ahead while the leader was silent; the next grants or accruals pay it.
-    debt: f64,
+    /// What may be spent without the leader, and when that was reckoned.
+    lone_level: f64,
+    lone_at: Time,
+    /// What all daemons were asked for, as a part of the allowance.
+    pressure: f64,
     asks: Vec<OpenAsk>,
     /// What was granted and surely not spent: the next report gives it back.
     unspent: f64,
+    /// What was spent of the leader's grants.
+    spending: SpendRate,
     demand: f64,
     demand_at: Time,
+    /// What requests cost that arrived since the last draw.
+    arrived: f64,
 }
 
 impl TeamPurse {
@@ -83,12 +135,15 @@
             granted: 0.0,
             granted_until: now,
             empty: None,
-            alone: None,
-            debt: 0.0,
+            lone_level: 0.0,
+            lone_at: now,
+            pressure: 1.0,
             asks: Vec::new(),
             unspent: 0.0,
+            spending: SpendRate::default(),
             demand: 0.0,
             demand_at: now,
+            arrived: 0.0,
         }
     }
 
@@ -104,6 +159,7 @@
     pub fn arrived(&mut self, now: Time, cost: f64) {
         self.demand = self.rate(now) + cost / DEMAND_SPAN;
         self.demand_at = now;
+        self.arrived += cost;
     }
 
     /// Notes that an unpaid request no longer waits.
@@ -120,6 +176,7 @@
         let ask = self.asks.iter().position(|ask| ask.id == wish.id);
         let is_awarded = ask.is_some_and(|at| self.asks[at].award.is_some());
         if is_awarded || self.granted >= wish.cost {
+            self.spending.spent(now, wish.cost);
             if is_awarded {
                 self.asks.retain(|ask| ask.id != wish.id);
             } else {
@@ -128,17 +185,16 @@
             }
             return PayVerdict::Paid;
         }
-        if now.since(heard_at) >= ALONE_AFTER {
-            return self.pay_alone(now, wish, heard_at, seats);
-        }
-        self.alone = None;
-        // A part of the even share of what accrues meanwhile may be spent ahead.
-        let share = self.allowance.per_second / f64::from(seats.max(1));
-        let ahead = share * GRANT_SPAN.as_secs_f64();
-        if now.since(heard_at) >= SILENT_AFTER && self.debt + wish.cost <= ahead {
-            self.debt += wish.cost;
-            self.left(wish.id);
-            return PayVerdict::Paid;
+        let silence = now.since(heard_at);
+        if silence >= sync_pause(seats) + SILENT_AFTER {
+            if self.pay_alone(now, wish, heard_at, seats) {
+                self.left(wish.id);
+                return PayVerdict::Paid;
+            }
+            if silence >= ALONE_AFTER {
+                self.left(wish.id);
+                return PayVerdict::Exhausted(ALONE_PAUSE);
+            }
         }
         match ask {
             Some(at) => self.look_again(now, at),
@@ -146,6 +202,35 @@
         }
     }
 
+    /// Pays by this daemon's share. Teams that ask for more than their allowance get a part of their
+    /// requests, by the draw; the others' go on, as far as this daemon's spending doesn't rise.
+    fn pay_alone(&mut self, now: Time, wish: &PayWish, heard_at: Time, seats: u32) -> bool {
+        let silence = now.since(heard_at);
+        let rate = lone_rate(&self.allowance, self.spending.at(heard_at), silence, seats);
+        self.accrue_alone(now, rate, rate);
+        let is_staked = self.lone_level < wish.cost;
+        let part = if is_staked { self.lone_level / wish.cost } else { 1.0 };
+        if wish.chance() < part.min(LONE_AIM / self.pressure.max(f64::MIN_POSITIVE)) {
+            self.lone_level -= wish.cost;
+            return true;
+        }
+        if is_staked {
+            self.lone_level = self.lone_level.min(self.lone_level * 0.6);
+        }
+        false
+    }
+
+    /// Reckons what may be spent without the leader: it accrues at a rate, up to some seconds of this
+    /// daemon's share.
+    fn accrue_alone(&mut self, now: Time, rate: f64, share: f64) {
+        let (window, span) = WINDOW_SECONDS;
+        let ahead = window / self.pressure.max(f64::MIN_POSITIVE) - span;
+        let cap = share * ahead.clamp(AHEAD_SECONDS.0, AHEAD_SECONDS.1);
+        let accrued = rate * now.since(self.lone_at).as_secs_f64();
+        self.lone_level = (self.lone_level + accrued).min(cap);
+        self.lone_at = now;
+    }
+
     /// Returns what the leader has said of a request that waits.
     fn look_again(&mut self, now: Time, at: usize) -> PayVerdict {
         let ask = &mut self.asks[at];
@@ -174,30 +259,6 @@
         PayVerdict::Short
     }
 
-    /// Spends from an even share. One that could never cover a request is staked on it as a whole:
-    /// over all daemons, no more is spent than accrues. What a won stake took beyond the share is
-    /// owed, so that one daemon overdraws by one request at most.
-    fn pay_alone(&mut self, now: Time, wish: &PayWish, heard_at: Time, seats: u32) -> PayVerdict {
-        let seats = f64::from(seats.max(1));
-        let rate = self.allowance.per_second / seats;
-        let cap = self.allowance.burst / seats;
-        let cost = wish.cost;
-        let debt = std::mem::take(&mut self.debt);
-        let (level, at) = self.alone.unwrap_or((0.0, heard_at + ALONE_AFTER));
-        let level = (level - debt + rate * now.since(at).as_secs_f64()).min(cap);
-        let is_staked = cost > cap && level > 0.0;
-        let chance = (wish.draw >> 11) as f64 / (1u64 << 53) as f64;
-        self.left(wish.id);
-        if level >= cost || is_staked && chance * cost < level {
-            self.alone = Some((level - cost, now));
-            return PayVerdict::Paid;
-        }
-        let level = if is_staked { 0.0 } else { level };
-        self.alone = Some((level, now));
-        let lacking = (cost.min(cap) - level) / rate.max(f64::MIN_POSITIVE);
-        PayVerdict::Exhausted(Duration::try_from_secs_f64(lacking).unwrap_or(Duration::MAX))
-    }
-
     /// Gives back what was paid for a request that surely did not run.
     pub fn refund(&mut self, now: Time, cost: f64) {
         self.expire(now);
@@ -226,20 +287,20 @@
         }
         if is_fresh {
             // Older parts expire with the new one; the leader counts on that.
-            let repaid = self.debt.min(grant.amount);
-            self.debt -= repaid;
-            self.granted += grant.amount - repaid;
+            self.granted += grant.amount;
             self.granted_until = until;
         } else {
             self.unspent += grant.amount;
         }
+        let own = self.spending.at(now);
+        self.accrue_alone(now, REFILL_PART * own, own);
+        self.pressure = grant.pressure;
         let wait = Duration::from_millis(grant.wait_ms);
         self.empty = (grant.wait_ms > 0).then_some((now, wait));
     }
 
-    /// Returns the requests that wait, what the next grant span will need besides, and what is given
-    /// back. What is given back is no longer in the purse.
-    pub fn draw(&mut self, now: Time) -> (Vec<CostAsk>, f64, f64) {
+    /// Returns what the leader is asked for.
+    pub fn draw(&mut self, now: Time) -> PurseDraw {
         self.expire(now);
         let waiting = self.asks.iter_mut().filter(|ask| ask.award.is_none());
         let asks = waiting.map(|ask| {
@@ -252,7 +313,12 @@
         let spare = (self.granted - ahead).max(0.0);
         self.granted -= spare;
         let returned = spare + std::mem::take(&mut self.unspent);
-        (asks, (ahead + self.debt - self.granted).max(0.0), returned)
+        PurseDraw {
+            asks,
+            ahead: (ahead - self.granted).max(0.0),
+            returned,
+            arrived: std::mem::take(&mut self.arrived),
+        }
     }
 
     /// Returns whether a draw would ask for something or give something back.
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -297,11 +297,15 @@
                 ledger.suspected(now);
             }
         }
-        let (present, seats) = self.seats.counts(now);
+        let seats = self.seats.count();
+        let absent = match report.draws.is_empty() {
+            true => Vec::new(),
+            false => self.seats.absent(now),
+        };
         let mut grants = Vec::new();
         for draw in &report.draws {
             if let Some(pool) = self.pools.get_mut(&draw.team) {
-                pool.accrue(now, present, seats);
+                pool.accrue(now, &absent, seats);
                 grants.push(pool.draw(now, &report.host, draw));
             }
         }
--- a/crates/lead/src/pool.rs
+++ b/crates/lead/src/pool.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{Name, SortedMap, Time};
-use fleet::{Allowance, CostAsk, TeamDraw, TeamGrant};
+use fleet::{lone_rate, Allowance, CostAsk, SpendRate, TeamDraw, TeamGrant, OWN_SPAN};
 
 /// A seat whose last reply it confirmed is older has its share taken out: it may have begun to
 /// spend an even share by itself. It does so after 1.8 s.
@@ -38,13 +38,33 @@
     cap: f64,
     at: Time,
     queue: Vec<QueuedAsk>,
+    drawers: SortedMap<Name, DrawerState>,
+    /// What all daemons were asked for.
+    demand: SpendRate,
+}
+
+/// One daemon as a pool knows it.
+#[derive(Clone, Copy, Debug, Default)]
+struct DrawerState {
+    /// What it has spent of the grants.
+    spending: SpendRate,
+    drew_at: Time,
 }
 
 impl TokenPool {
     /// Creates an empty pool: what the former leader granted may be unspent.
     pub fn new(now: Time, allowance: Allowance) -> TokenPool {
         let (rate, cap) = (allowance.per_second, allowance.burst);
-        TokenPool { allowance, level: 0.0, rate, cap, at: now, queue: Vec::new() }
+        TokenPool {
+            allowance,
+            level: 0.0,
+            rate,
+            cap,
+            at: now,
+            queue: Vec::new(),
+            drawers: SortedMap::default(),
+            demand: SpendRate::default(),
+        }
     }
 
     /// Sets the allowance.
@@ -52,11 +72,21 @@
         self.allowance = allowance;
     }
 
-    /// Accrues until now for the seats that do not spend by themselves, of all `seats`.
-    pub fn accrue(&mut self, now: Time, present: usize, seats: usize) {
-        let part = present as f64 / seats.max(1) as f64;
-        self.rate = self.allowance.per_second * part;
-        self.cap = self.allowance.burst * part;
+    /// Accrues until now for the seats that do not spend by themselves, that is for all of `seats`
+    /// but those that are absent.
+    pub fn accrue(&mut self, now: Time, absent: &[Name], seats: usize) {
+        let seats = u32::try_from(seats.max(1)).unwrap_or(u32::MAX);
+        let lone = |name: &Name| match self.drawers.get(name) {
+            Some(drawer) => {
+                // The daemon counts from the last answer that it had, which was earlier.
+                let silence = now.since(drawer.drew_at).saturating_sub(PRESENT_SPAN);
+                lone_rate(&self.allowance, drawer.spending.at(drawer.drew_at), silence, seats)
+            }
+            None => lone_rate(&self.allowance, 0.0, OWN_SPAN, seats),
+        };
+        let lone: f64 = absent.iter().map(lone).sum();
+        self.rate = (self.allowance.per_second - lone).max(0.0);
+        self.cap = self.allowance.burst * self.rate / self.allowance.per_second.max(1.0);
         self.level = (self.level + self.rate * now.since(self.at).as_secs_f64()).min(self.cap);
         self.at = now;
     }
@@ -93,8 +123,19 @@
             false => 0.0,
         };
         self.level -= amount;
+        let spent = awards.iter().map(|(_, cost)| cost).sum::<f64>() + amount - draw.returned;
+        let drawer = self.drawers.entry(host.clone(), DrawerState::default);
+        drawer.spending.spent(now, spent);
+        drawer.drew_at = now;
+        self.demand.spent(now, draw.arrived);
         let wait_ms = if left < 0.0 { self.accrual(-left) } else { 0 };
-        TeamGrant { team: draw.team.clone(), awards, waits, amount, wait_ms }
+        let (team, pressure) = (draw.team.clone(), self.pressure(now));
+        TeamGrant { team, awards, waits, amount, wait_ms, pressure }
+    }
+
+    /// Returns what all daemons are asked for, as a part of the allowance.
+    fn pressure(&self, now: Time) -> f64 {
+        self.demand.at(now) / self.allowance.per_second.max(f64::MIN_POSITIVE)
     }
 
     /// Takes the requests that wait at a daemon. New ones go to the end.
@@ -219,12 +260,16 @@
         seat.replied = Some((number, now));
     }
 
-    /// Returns how many daemons draw from the leader, and how many there are.
-    pub fn counts(&self, now: Time) -> (usize, usize) {
-        let present = self
-            .seats
-            .values()
-            .filter(|seat| seat.confirmed.is_some_and(|at| now.since(at) < PRESENT_SPAN));
-        (present.count(), self.seats.len())
+    /// Returns how many daemons there are.
+    pub fn count(&self) -> usize {
+        self.seats.len()
+    }
+
+    /// Returns the daemons that don't draw from the leader.
+    pub fn absent(&self, now: Time) -> Vec<Name> {
+        let present =
+            |seat: &SeatState| seat.confirmed.is_some_and(|at| now.since(at) < PRESENT_SPAN);
+        let absent = self.seats.iter().filter(|(_, seat)| !present(seat));
+        absent.map(|(name, _)| name.clone()).collect()
     }
 }
--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -11,6 +11,10 @@
 /// A larger value is read from the store by each daemon: the leader's link may be slow.
 const MAX_VALUE_BYTES: usize = 4 << 10;
 
+/// A leader that knows the store as it was longer ago has probably lost it: daemons that can read it
+/// should do so before much has changed, and not all at the same moment.
+const MAX_WORD_AGE: Duration = Duration::from_millis(1_200);
+
 /// Time without an answer from the store after which changes may cost more than the state; a call
 /// that was cut short is made again sooner.
 const MAX_GAP: Duration = Duration::from_millis(1_500);
@@ -73,10 +77,10 @@
         self.asked_at = Some(asked_at);
     }
 
-    /// Returns the changes since a revision; `None` when they are not all known.
+    /// Returns the changes since a revision; `None` when they are not all known, or not lately.
     pub fn since(&self, now: Time, known: Revision) -> Option<ChangeBatch> {
         let age = now.since(self.asked_at?);
-        if known < self.after {
+        if known < self.after || age > MAX_WORD_AGE {
             return None;
         }
         let newer = self.changes.iter().filter(|change| change.revision > known);
--- a/crates/lead/tests/team_pool.rs
+++ b/crates/lead/tests/team_pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use base::{SortedMap, Time};
-use fleet::{Allowance, TeamDraw};
+use fleet::Allowance;
 use front::{PayVerdict, PayWish, TeamPurse};
 use mango_lead::{SeatRoster, SeatTable, TokenPool};
 use rand::rngs::SmallRng;
@@ -23,6 +23,8 @@
 const STEP_MS: u64 = 5;
 const LEASE_MS: u64 = 2_000;
 const SECONDS: u64 = 40;
+/// Clients of one team, each of which stays with a daemon.
+const CLIENTS: u32 = 20;
 /// How long a request waits for its cost.
 const PATIENCE: Duration = Duration::from_millis(150);
 /// What grants that are spent late, and requests that overdraw a share, may add in any window.
@@ -52,6 +54,19 @@
     seed: u64,
     terms: &[u64],
 ) -> Vec<f64> {
+    play_gap(seats, cut, load, seed, terms, 0..0).0
+}
+
+/// The same with no leader for a time. Every client stays with its daemon where there is such a time.
+/// Returns what was sent as well.
+fn play_gap(
+    seats: usize,
+    cut: &[(usize, std::ops::Range<u64>)],
+    load: f64,
+    seed: u64,
+    terms: &[u64],
+    gap: std::ops::Range<u64>,
+) -> (Vec<f64>, Vec<f64>) {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut table = SeatTable::default();
     let mut pool = TokenPool::new(Time::ZERO, ALLOWANCE);
@@ -69,38 +84,43 @@
     let mut roster = SeatRoster::default();
     roster.relisted(Time::ZERO, all.iter().map(|seat| seat.name.clone()));
     table.listed(Time::ZERO, &roster);
-    let mut spent = Vec::new();
+    let mut homes = vec![1.0; seats];
+    if !gap.is_empty() {
+        homes.fill(0.0);
+        for _ in 0..CLIENTS {
+            homes[random.random_range(0..seats)] += seats as f64 / f64::from(CLIENTS);
+        }
+    }
+    let (mut spent, mut sent) = (Vec::new(), Vec::new());
     let mut last = 0;
     let pause = (SYNC_MS.0 * seats as u64 / 100).clamp(SYNC_MS.0, SYNC_MS.1);
     for ms in (0..SECONDS * 1_000).step_by(STEP_MS as usize) {
         let now = Time::from_millis(ms);
-        let mut sum = 0.0;
+        let (mut sum, mut asked) = (0.0, 0.0);
         if terms.contains(&ms) {
             (table, pool) = (SeatTable::default(), TokenPool::new(now, ALLOWANCE));
             table.listed(now, &roster);
         }
-        for seat in &mut all {
+        for (seat, home) in all.iter_mut().zip(&homes) {
             if ms == seat.cut.start + LEASE_MS {
                 roster.gone(now, seat.name.clone());
             }
-            let chance = load * ALLOWANCE.per_second / 10_000.0 / seats as f64;
+            let chance = home * load * ALLOWANCE.per_second / 10_000.0 / seats as f64;
             if random.random_bool((chance * STEP_MS as f64 / 1_000.0).min(1.0)) {
                 let cost = random.random_range(500.0..19_500.0);
                 seat.purse.arrived(now, cost);
+                asked += cost;
                 last += 1;
                 let wish = PayWish { id: last, cost, patience: PATIENCE, draw: random.random() };
                 seat.waiting.push((ms, wish));
             }
             let pause = if seat.purse.is_urgent() { URGENT_MS } else { pause };
-            if ms >= seat.synced + pause && !seat.cut.contains(&ms) {
+            if ms >= seat.synced + pause && !seat.cut.contains(&ms) && !gap.contains(&ms) {
                 seat.synced = ms;
                 seat.numbers.0 += 1;
-                let (asks, ahead, returned) = seat.purse.draw(now);
-                let team = "team".parse().unwrap();
-                let draw = TeamDraw { team, asks, ahead, returned };
+                let draw = seat.purse.draw(now).of_team("team".parse().unwrap());
                 table.reported(now, &seat.name, 1, seat.numbers);
-                let (present, known) = table.counts(now);
-                pool.accrue(now, present, known);
+                pool.accrue(now, &table.absent(now), table.count());
                 let grant = pool.draw(now, &seat.name, &draw);
                 let back = now + Duration::from_millis(2 * WAY_MS);
                 seat.purse.granted(back, now, &grant);
@@ -121,8 +141,9 @@
             });
         }
         spent.push(sum);
+        sent.push(asked);
     }
-    spent
+    (spent, sent)
 }
 
 /// Returns the largest excess over the allowance in any window, in seconds of the rate.
@@ -219,3 +240,28 @@
         assert!(excess(&spent) <= SLACK_SECONDS, "load {load}: {}", excess(&spent));
     }
 }
+
+/// Pattern: the leader's machine is lost, and nobody leads for some seconds. What teams send within
+/// their allowance goes on being served, since their clients stay with their daemons; what a team
+/// sends beyond is not.
+#[test]
+fn lost_leader() {
+    const GAP_MS: std::ops::Range<u64> = 20_000..25_000;
+    let steps = |at: u64| usize::try_from(at / STEP_MS).unwrap();
+    for seats in [7, 85, 295] {
+        for (load, least) in [(0.55, 0.5), (4.0, 0.0)] {
+            let (mut served, mut offered, mut worst) = (0.0, 0.0, 0.0f64);
+            for seed in 0..4 {
+                // Another daemon leads then, which knows nothing of the former term.
+                let (spent, sent) = play_gap(seats, &[], load, seed, &[25_000], GAP_MS);
+                let gap = steps(GAP_MS.start)..steps(GAP_MS.end);
+                served += spent[gap.clone()].iter().sum::<f64>();
+                offered += sent[gap].iter().sum::<f64>();
+                worst = worst.max(excess(&spent));
+            }
+            let share = served / offered;
+            assert!(share >= least, "{seats} seats at {load}: {share} served");
+            assert!(worst <= SLACK_SECONDS, "{seats} seats at {load}: {worst} s over");
+        }
+    }
+}
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -86,7 +86,8 @@
         wait: Duration,
     ) -> Result<WatchReply, StoreError> {
         let call = store::watch_call(prefix, after, wait);
-        let (status, body) = self.call(&call, wait + WATCH_SLACK).await?;
+        let limit = (wait + WATCH_SLACK).max(self.timeout);
+        let (status, body) = self.call(&call, limit).await?;
         Ok(store::watch_reply(status, &body)?)
     }
 
