Judge a waiting request's key again when the configuration changes

Change: a request whose layout was replaced is judged by the new one before it goes on; it is refused as not run, or as unknown if it may have run.

Measured: target_choice::withdrawn_wait failed before (it was sent), passes.

--- a/crates/front/src/desk.rs
+++ b/crates/front/src/desk.rs
@@ -256,6 +256,8 @@
         let ticket = Ticket {
             service: service.clone(),
             team: team.map(|team| team.name.clone()),
+            key: arrival.key.filter(|_| team.is_some()),
+            judged_by: layout.version(),
             urgency: rank.saturating_mul(TEAM_RANK).saturating_add(route.priority).min(9),
             cost,
             paid: cost <= 0.0,
--- a/crates/front/src/desk/step.rs
+++ b/crates/front/src/desk/step.rs
@@ -43,6 +43,19 @@
                 "deadline",
             ));
         }
+        if !self.judge_key(id) {
+            let Some(ticket) = self.tickets.get(&id) else {
+                return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
+            };
+            let reason = "key withdrawn";
+            return Step::Refuse(match ticket.may_have_run {
+                true => ticket.give_up(ResultCode::KeyRejected, RETRY_AFTER, reason),
+                false => Refusal::new(ResultCode::KeyRejected, reason),
+            });
+        }
+        let Some(ticket) = self.tickets.get(&id) else {
+            return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
+        };
         if now >= ticket.first_by && ticket.sends == 0 {
             let reason = "waited too long";
             return Step::Refuse(ticket.give_up(ResultCode::NoCapacity, RETRY_AFTER, reason));
@@ -61,6 +74,19 @@
         }
     }
 
+    /// Returns whether a request's key is still its team's, by the layout in force.
+    fn judge_key(&mut self, id: u64) -> bool {
+        let Some((layout, ticket)) = self.layout.as_ref().zip(self.tickets.get_mut(&id)) else {
+            return true;
+        };
+        if ticket.judged_by == layout.version() {
+            return true;
+        }
+        ticket.judged_by = layout.version();
+        let Some(key) = &ticket.key else { return true };
+        layout.team_of(key).map(|team| &team.name) == ticket.team.as_ref()
+    }
+
     fn is_engine(&self, service: &Name) -> bool {
         let layout = self.layout.as_ref();
         layout.and_then(|layout| layout.service(service)).is_some_and(|s| s.engine.is_some())
--- a/crates/front/src/ticket.rs
+++ b/crates/front/src/ticket.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
-use fleet::{ModelRef, PromptPart, RouteEntry, TargetLoad};
+use fleet::{LayoutVersion, ModelRef, PromptPart, RouteEntry, TargetLoad};
 
 use crate::record::PromptChain;
 
@@ -173,6 +173,9 @@
     pub(crate) route: RouteEntry,
     pub(crate) service: Name,
     pub(crate) team: Option<TeamName>,
+    /// Key that it came with, and the layout by which that was judged last.
+    pub(crate) key: Option<KeyHash>,
+    pub(crate) judged_by: LayoutVersion,
     pub(crate) urgency: u8,
     pub(crate) cost: f64,
     pub(crate) paid: bool,
--- a/crates/front/tests/target_choice.rs
+++ b/crates/front/tests/target_choice.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{ResultCode, Time, TokenCount};
+use base::{ResultCode, SecretKey, Time, TokenCount};
 use fleet::{
     EngineShape, FleetLayout, HeldModel, ModelRef, PromptPart, RouteEntry, RouteKind, ServiceEntry,
-    ServiceWeight, TargetEntry, TargetPhase,
+    ServiceWeight, TargetEntry, TargetPhase, TeamEntry,
 };
 use mango_front::{AfterEnd, Arrival, AttemptEnd, Desk, DeskConfig, Dispatch, Refusal, Step};
 
@@ -221,3 +221,36 @@
     assert!(!desk.layout_changed(at(2), layout()));
     assert!(desk.admit(at(3), &Arrival::new("desk.example", "/safe/1")).is_err());
 }
+
+/// A request that waits as its key is withdrawn is not sent any more, and is refused as not run; one
+/// whose key stays is.
+#[test]
+fn withdrawn_wait() {
+    let with_key = |version: u64, key: &str| {
+        let team = TeamEntry {
+            name: "atelier".parse().unwrap(),
+            priority: 0,
+            allowance: None,
+            keys: vec![SecretKey::new(key).hash()],
+        };
+        let known = layout();
+        let mut builder = FleetLayout::builder(version).team(team);
+        for service in known.services() {
+            builder = builder.service(service.clone());
+        }
+        Arc::new(builder.route(known.route("desk.example", "/safe/1").unwrap().clone()).build())
+    };
+    let mut desk = desk(vec![target("t1", "plain", "east", &[])]);
+    desk.layout_changed(at(0), with_key(2, "first"));
+    let mut arrival = Arrival::new("desk.example", "/safe/1");
+    arrival.key = Some(SecretKey::new("first").hash());
+    let stays = desk.admit(at(0), &arrival).unwrap();
+    desk.layout_changed(at(5), with_key(3, "first"));
+    sent(desk.step(at(10), stays));
+    let waits = desk.admit(at(20), &arrival).unwrap();
+    desk.layout_changed(at(30), with_key(4, "second"));
+    match desk.step(at(40), waits) {
+        Step::Refuse(refusal) => assert_eq!(refusal.code, ResultCode::KeyRejected),
+        other => panic!("{other:?}"),
+    }
+}
