Send nothing by a list that was read before a process was held up

Change: a daemon's own read stands until its watch should have been answered again; after that it waits for the next answer, as it does for the leader's.

Measured: store_relay passes (acted_on with own reads that end).

--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -154,8 +154,9 @@
 
 /// Whether a daemon's list of targets is recent enough for sending to them.
 ///
-/// The leader's word stands for a time; then the daemon reads the store itself, and sends nothing
-/// until it has. A daemon that can't reach the store goes on with the list that it has.
+/// The leader's word stands for a time, and so does what the daemon has read itself: a process that was
+/// held up sends nothing before it has read again. A daemon that can't reach the store goes on with the
+/// list that it has.
 ///
 /// # Example
 ///
@@ -167,8 +168,10 @@
 /// vouch.relayed(Time::from_millis(3_900));
 /// assert!(vouch.is_current(Time::from_millis(3_899)));
 /// assert!(!vouch.is_current(Time::from_millis(3_900)));
-/// vouch.own_read();
+/// vouch.own_read(Time::from_millis(8_000));
 /// assert!(vouch.is_current(Time::from_millis(3_950)));
+/// vouch.out_of_reach();
+/// assert!(vouch.is_current(Time::from_millis(60_000)));
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ListVouch {
@@ -182,9 +185,14 @@
         self.until = Some(until);
     }
 
-    /// Notes that the daemon has read the store itself and goes on watching it, or that the store is
-    /// out of reach.
-    pub fn own_read(&mut self) {
+    /// Notes that the daemon has read the store itself, and by when its watch will have been answered
+    /// again or have failed.
+    pub fn own_read(&mut self, until: Time) {
+        self.until = Some(until);
+    }
+
+    /// Notes that the store is out of reach.
+    pub fn out_of_reach(&mut self) {
         self.until = None;
     }
 
--- a/crates/lead/tests/store_relay.rs
+++ b/crates/lead/tests/store_relay.rs
@@ -144,7 +144,7 @@
             if let Some((_, revision)) = daemon.reading.take_if(|(at, _)| ms >= *at) {
                 daemon.known = daemon.known.max(revision);
                 daemon.own_at = ms + OWN_PAUSE_MS + WAY_MS;
-                daemon.vouch.own_read();
+                daemon.vouch.own_read(now + Duration::from_secs(5));
             }
             let age = ms.saturating_sub((daemon.known + 1) * change_ms);
             latest = latest.max(age);
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -27,6 +27,8 @@
 /// A leader's watch waits this long, so that the others can tell a store that is silent from one
 /// in which nothing changes; so does every watch after a failed call, to find the store soon.
 const SHORT_WAIT: Duration = Duration::from_millis(200);
+/// Time by which a watch is answered or fails later than its wait, its pause and its limit add up to.
+const VOUCH_SLACK: Duration = Duration::from_millis(1_000);
 /// A watch that only finds out what has changed already.
 const NO_WAIT: Duration = Duration::from_millis(1);
 /// Least time between two answers of a leader's watch: all others wait for it.
@@ -191,8 +193,10 @@
     /// Notes that the daemon's own reads of the store tell which targets leave.
     fn vouch(&mut self) {
         self.is_behind = false;
+        let settings = &self.host.settings;
+        let span = settings.watch_wait + settings.watch_pause + settings.call_timeout;
         let mut vouch = self.host.vouch.get();
-        vouch.own_read();
+        vouch.own_read(boot_time() + span + VOUCH_SLACK);
         self.host.vouch.set(vouch);
         self.host.vouched.notify_waiters();
     }
@@ -412,7 +416,10 @@
     fn lost(&mut self, error: &StoreError) {
         self.plan.lost();
         // Without the store the last list holds.
-        self.vouch();
+        let mut vouch = self.host.vouch.get();
+        vouch.out_of_reach();
+        self.host.vouch.set(vouch);
+        self.host.vouched.notify_waiters();
         if !self.down {
             self.down = true;
             let age = boot_time().since(self.heard_at).as_millis();
