Answer what was just accepted at a planned stop, and end the leader's lease

And a leader that stopped left its term to run out: nobody led for three seconds.

Change: a connection that is younger than 400 ms is given the time to bring its request; a stopping leader ends its lease, and claims none. A daemon that never heard how pressed a team is takes it as not pressed.

--- a/crates/front/src/purse.rs
+++ b/crates/front/src/purse.rs
@@ -137,7 +137,7 @@
             empty: None,
             lone_level: 0.0,
             lone_at: now,
-            pressure: 1.0,
+            pressure: LONE_AIM,
             asks: Vec::new(),
             unspent: 0.0,
             spending: SpendRate::default(),
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| child.try_wait().unwrap().is_some())
+    }
+
     /// Waits for the process to end by itself.
     pub async fn wait_end(&mut self) {
         while self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none()) {
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -8,7 +8,9 @@
 use daemon::boot_time;
 use fleet::ChangeBatch;
 use front::{Desk, DeskConfig};
+
 use lead::{ListVouch, RelayView, SeatRoster};
+use node::LeaseId;
 use tokio::sync::Notify;
 
 use crate::link::LinkPool;
@@ -51,6 +53,8 @@
     /// Hosts with a seat: a machine that is cut off from the store loses it and goes on serving.
     pub(crate) seats: RefCell<SeatRoster>,
     pub(crate) leading: RefCell<Option<Leading>>,
+    /// Lease of this daemon's term.
+    pub(crate) term_lease: Cell<Option<LeaseId>>,
     /// Revision up to which the store is known.
     pub(crate) known: Cell<Revision>,
     pub(crate) relay: Cell<RelayView>,
@@ -92,6 +96,7 @@
             leader: RefCell::default(),
             seats: RefCell::default(),
             leading: RefCell::default(),
+            term_lease: Cell::new(None),
             known: Cell::new(Revision(0)),
             relay: Cell::new(RelayView::new(settings.drain.saturating_sub(RELAY_MARGIN))),
             relayed: RefCell::default(),
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -21,7 +21,7 @@
 
 use crate::answer::ReplyBody;
 use crate::exchange::IDLE_LIMIT;
-use crate::host::{Host, LOOP_PAUSE};
+use crate::host::{sleep_until, Host, LOOP_PAUSE};
 use crate::metrics::Metrics;
 use crate::trail::{init_trail, Line};
 use crate::{caller, follow, link, orders, peer, seat, FrontSettings};
@@ -34,6 +34,10 @@
 /// Time after SIGTERM at which idle connections are closed. Until then a client's request on a
 /// kept connection is still answered.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(3_300);
+/// A new connection brings its request within this time: clients send it at once.
+const FIRST_REQUEST_SPAN: Duration = Duration::from_millis(400);
+/// How long the end of a leader's lease at a stop may take.
+const RESIGN_LIMIT: Duration = Duration::from_millis(300);
 /// Pause after a connection can't be accepted for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Largest buffer of a client's connection.
@@ -141,6 +145,8 @@
             break;
         }
     }
+    // Another daemon can lead at once.
+    let _ = tokio::time::timeout(RESIGN_LIMIT, seat::end_term(host)).await;
     Line::new("stopped").with("open", host.desk.borrow().open()).info();
     // The log's thread writes what is left.
     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -205,6 +211,7 @@
             .header_read_timeout(idle.unwrap_or(HEAD_LIMIT) + LOOP_PAUSE)
             .max_buf_size(BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
+        let accepted_at = boot_time();
         open.set(open.get() + 1);
         let count = OpenCount(open.clone());
         let mut stopped = stopped.clone();
@@ -216,6 +223,11 @@
                 _ = connection.as_mut() => return,
                 _ = stopped.wait_for(|stopped| *stopped) => {}
             }
+            // A request may be on its way on a connection that was just made.
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = sleep_until(accepted_at + FIRST_REQUEST_SPAN) => {}
+            }
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         });
--- a/crates/serve/src/seat.rs
+++ b/crates/serve/src/seat.rs
@@ -168,7 +168,8 @@
 /// begins.
 async fn claim(host: &Host) -> Option<LeaseId> {
     let known = host.leader.borrow().clone();
-    if !host.listed.get() || host.leading.borrow().is_some() {
+    let is_stopping = host.stopping.get().is_some();
+    if !host.listed.get() || host.leading.borrow().is_some() || is_stopping {
         return None;
     }
     let own = host.settings.host.clone();
@@ -244,9 +245,21 @@
     targets_changed(host);
     seats_changed(host);
     host.sync.notify_one();
+    host.term_lease.set(Some(lease));
     Some(lease)
 }
 
+/// Ends this daemon's term and its lease, so that nobody has to wait until that runs out.
+pub(crate) async fn end_term(host: &Host) {
+    let Some(lease) = host.term_lease.take().filter(|_| host.leading.borrow().is_some()) else {
+        return;
+    };
+    resign(host, "stopping");
+    if let Err(error) = host.store.end(lease).await {
+        Line::new("lease_unsure").text("error", &error).info();
+    }
+}
+
 /// Ends this daemon's term.
 pub(crate) fn resign(host: &Host, reason: &'static str) {
     if let Some(leading) = host.leading.borrow_mut().take() {
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -111,6 +111,11 @@
         Ok(store::keep_reply(status, &body)?)
     }
 
+    pub(crate) async fn end(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let (status, _) = self.call(&store::end_call(lease), self.timeout).await?;
+        Ok(store::end_reply(status)?)
+    }
+
     async fn call(&self, call: &HttpCall, limit: Duration) -> Result<(u16, Bytes), StoreError> {
         self.calls.set(self.calls.get() + 1);
         let now: Time = boot_time();
