Hold requests for a starting daemon's first configuration, and average spending fairly at its start

With the leader lost three seconds after the first traffic daemons' own spending was reckoned 60% too low.

Change: a request waits 1.2 s at most for the first configuration. An average over less than its usual time counts as one over that time.

Tests: stream_pace (slow and trickling streams) and after_restart (withdrawn keys, servers that left) find no fault; team_pool as before.

--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -10,6 +10,8 @@
 
 /// Spending is averaged over about this time, in seconds.
 const RATE_SPAN: f64 = 6.0;
+/// Least time over which an average says anything, in seconds.
+const LEAST_AGE: f64 = 1.0;
 /// Part of what a daemon has spent lately that it goes on spending; the rest of a share is even over
 /// all daemons. Together they are no more than the allowance.
 const OWN_PART: f64 = 0.9;
@@ -26,25 +28,34 @@
 ///
 /// let mut rate = SpendRate::default();
 /// rate.spent(Time::ZERO, 400.0);
-/// assert!((rate.at(Time::ZERO) - 400.0 / 6.0).abs() < 1e-9);
-/// assert!(rate.at(Time::from_millis(6_000)) < 25.0);
+/// assert!(rate.at(Time::ZERO) > 300.0);
+/// assert!(rate.at(Time::from_millis(6_000)) < 60.0);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SpendRate {
-    rate: f64,
+    sum: f64,
     at: Time,
+    /// When the first amount was spent: an average over less time than usual counts as one.
+    since: Option<Time>,
 }
 
 impl SpendRate {
     /// Notes that an amount was spent, or with a negative one that it was not after all.
     pub fn spent(&mut self, now: Time, amount: f64) {
-        self.rate = (self.at(now) + amount / RATE_SPAN).max(0.0);
+        self.sum = (self.sum * self.decay(now) + amount).max(0.0);
         self.at = self.at.max(now);
+        self.since.get_or_insert(now);
     }
 
     /// Returns what was spent in a second.
     pub fn at(&self, now: Time) -> f64 {
-        self.rate * (-now.since(self.at).as_secs_f64() / RATE_SPAN).exp()
+        let age = self.since.map_or(0.0, |since| now.since(since).as_secs_f64()).max(LEAST_AGE);
+        let weight = RATE_SPAN * (1.0 - (-age / RATE_SPAN).exp());
+        self.sum * self.decay(now) / weight
+    }
+
+    fn decay(&self, now: Time) -> f64 {
+        (-now.since(self.at).as_secs_f64() / RATE_SPAN).exp()
     }
 }
 
--- a/crates/front/src/purse.rs
+++ b/crates/front/src/purse.rs
@@ -135,7 +135,8 @@
             granted: 0.0,
             granted_until: now,
             empty: None,
-            lone_level: 0.0,
+            // As much as is ever spent ahead, once that is known.
+            lone_level: f64::INFINITY,
             lone_at: now,
             pressure: LONE_AIM,
             asks: Vec::new(),
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -30,6 +30,8 @@
 const WAIT_AFTER_STOP: Duration = Duration::from_millis(2_500);
 /// Longest time for receiving a body that names no deadline.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// How long a request waits for a process that has just started to know what exists.
+const LAYOUT_WAIT: Duration = Duration::from_millis(1_200);
 /// When to come back to another daemon while this one stops.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -136,6 +138,7 @@
     let attempt = attempt.unwrap_or_default().to_owned();
     let mut hasher = DefaultHasher::new();
     attempt.hash(&mut hasher);
+    wait_layout(&host, since + LAYOUT_WAIT.min(receiving)).await;
     let arrival = Arrival {
         host: host_name(&head),
         path: head.uri.path().to_owned(),
@@ -189,6 +192,16 @@
     serve(guard, out).await
 }
 
+/// Waits for a layout: a process that has just started has one soon, and then serves.
+async fn wait_layout(host: &Host, until: Time) {
+    while host.desk.borrow().layout().is_none() && boot_time() < until {
+        tokio::select! {
+            () = host.changed.notified() => {}
+            () = sleep_until(until) => {}
+        }
+    }
+}
+
 fn host_name(head: &hyper::http::request::Parts) -> String {
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let name = head.uri.host().or(header).unwrap_or_default();
