Ask the store less often where leaving targets give more time, and read storms of configurations in part

Change: a daemon's own watch pauses 30% of the time that a leaving target gives (0.6 s at 2 s as before, 1.2 s at 4 s), and a large value is read no sooner than that after the last one.

--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -48,8 +48,9 @@
     is_relayed: bool,
     /// Whether the next watch only finds out what is missing since the leader's last word.
     is_behind: bool,
-    /// Keys whose values the leader did not pass on.
+    /// Keys whose values the leader did not pass on, and when one was read last.
     unread: Vec<String>,
+    omitted_at: Time,
     plan: ReadPlan,
 }
 
@@ -65,6 +66,7 @@
         is_relayed: false,
         is_behind: false,
         unread: Vec::new(),
+        omitted_at: Time::ZERO,
         plan: ReadPlan::new(now),
     };
     let mut pause = RETRY_PAUSE.0;
@@ -74,7 +76,7 @@
             false => None,
         };
         let step = match (relayed_until, follower.plan.next(boot_time())) {
-            (_, StoreRead::Changes) if !follower.unread.is_empty() => follower.read_omitted().await,
+            (_, StoreRead::Changes) if follower.may_read_omitted() => follower.read_omitted().await,
             (Some(until), _) => {
                 follower.follow_leader(until).await;
                 Ok(())
@@ -153,9 +155,13 @@
     /// Waits for changes that the leader passes on and takes them.
     async fn follow_leader(&mut self, until: Time) {
         let host = self.host.clone();
+        let due = match self.unread.is_empty() {
+            true => until,
+            false => until.min(self.omitted_at + host.settings.watch_pause),
+        };
         tokio::select! {
             () = host.relay_changed.notified() => {}
-            () = sleep_until(until) => {}
+            () = sleep_until(due) => {}
         }
         self.take_relayed();
     }
@@ -178,10 +184,18 @@
         }
     }
 
+    /// Returns whether a value that the leader did not pass on is to be read now: of one that changes
+    /// quickly, not each state is of use.
+    fn may_read_omitted(&self) -> bool {
+        let pause = self.host.settings.watch_pause;
+        !self.unread.is_empty() && boot_time().since(self.omitted_at) >= pause
+    }
+
     /// Reads a value that the leader did not pass on.
     async fn read_omitted(&mut self) -> Result<(), StoreError> {
         let Some(key) = self.unread.last().cloned() else { return Ok(()) };
         let host = self.host.clone();
+        self.omitted_at = boot_time();
         let item = host.store.key(&key).await?;
         self.unread.retain(|unread| *unread != key);
         if item.is_some_and(|item| self.take(boot_time(), KeyEvent::Put(item))) {
@@ -256,7 +270,9 @@
             relevant |= match change {
                 KnownChange::Event(event) => self.take(now, event),
                 KnownChange::Omitted(key, _) => {
-                    self.unread.push(key);
+                    if !self.unread.contains(&key) {
+                        self.unread.push(key);
+                    }
                     false
                 }
                 KnownChange::Holdings(key, _, holdings) => self.take_holdings(now, &key, holdings),
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -48,6 +48,10 @@
     ("log", &["level", "lines_per_second"]),
 ];
 
+/// Pause between two answers of a daemon's own watch unless it is set, in hundredths of the time that
+/// a leaving target gives.
+const WATCH_PAUSE_PART: u64 = 30;
+
 /// Settings of a daemon on the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FrontSettings {
@@ -138,15 +142,17 @@
             reader.value("log", "level", "off, error, warn, info, debug or trace", |text| {
                 text.parse().ok()
             });
+        let drain = reader.span("limits", "drain", 2_000);
+        let drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
         let log_lines = reader.count("log", "lines_per_second", 300);
         Some(FrontSettings {
             lease: reader.span("store", "lease", 3_000),
             seat_lease: reader.span("store", "seat_lease", 30_000),
             call_timeout: reader.span("store", "call_timeout", 1_500),
             watch_wait: reader.span("store", "watch_wait", 1_500),
-            watch_pause: reader.span("store", "watch_pause", 600),
+            watch_pause: reader.span("store", "watch_pause", drain_ms * WATCH_PAUSE_PART / 100),
             return_grace: reader.span("store", "return_grace", 2_200),
-            drain: reader.span("limits", "drain", 2_000),
+            drain,
             grace: reader.span("limits", "grace", 8_000),
             order_turn: reader.span("limits", "order_turn", 3_000),
             retry_window: reader.span("limits", "retry_window", 10_000),
