Shorten a leader's term to 2 s, and leave time for a second renewal

The term could not be shorter: a renewal waited 1.5 s for an answer that was lost.

Change: the lease is 2 s long; a renewal's answer is waited for a quarter of that, and the next one follows after 100 ms.

Measured: platform_path::silent_renewal: with a lease of 2 s five terms in 9 s and two leases lost before, one term now.

--- a/crates/mangodeal/tests/platform_path.rs
+++ b/crates/mangodeal/tests/platform_path.rs
@@ -239,6 +239,26 @@
     });
 }
 
+/// A renewal of the leader's lease whose answer never comes leaves the time for another one.
+#[test]
+fn silent_renewal() {
+    run(async {
+        let fleet = PlatformFleet::start(2).await;
+        let of = |event: &str| -> usize {
+            let logs = fleet.fronts.iter().flat_map(|front| front.log());
+            logs.filter(|line| line["event"] == event).count()
+        };
+        eventually(Duration::from_secs(5), "one leads", || async { of("leads") == 1 }).await;
+        for _ in 0..4 {
+            fleet.store.set_mode(StoreMode::Silent);
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            fleet.store.set_mode(StoreMode::Up);
+            tokio::time::sleep(Duration::from_millis(1_700)).await;
+        }
+        assert_eq!((of("leads"), of("leads_no_more"), of("lease_lost")), (1, 0, 0));
+    });
+}
+
 /// A configuration that is too large to be passed on is read by each daemon, without going back to
 /// watching the store.
 #[test]
--- a/crates/serve/src/seat.rs
+++ b/crates/serve/src/seat.rs
@@ -31,6 +31,9 @@
 /// Pause after a failed call to the store.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 
+/// The same for a renewal of the leader's lease.
+const RENEW_PAUSE: Duration = Duration::from_millis(100);
+
 /// The same for a seat, whose lease is long.
 const SEAT_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -71,10 +74,12 @@
     let mut lease: Option<LeaseId> = None;
     loop {
         let kept = match lease {
-            Some(id) => host.store.keep(id).await.map(|reply| match reply {
-                KeepReply::Kept(_) => Some(id),
-                KeepReply::Gone => None,
-            }),
+            Some(id) => {
+                host.store.keep(id, host.settings.call_timeout).await.map(|reply| match reply {
+                    KeepReply::Kept(_) => Some(id),
+                    KeepReply::Gone => None,
+                })
+            }
             None => take_seat(&host).await,
         };
         let pause = match kept {
@@ -104,7 +109,7 @@
         let asked_at = boot_time();
         let leads = host.leading.borrow().is_some();
         match lease.filter(|_| leads) {
-            Some(id) => match host.store.keep(id).await {
+            Some(id) => match host.store.keep(id, pause).await {
                 Ok(KeepReply::Kept(span)) => {
                     if let Some(leading) = host.leading.borrow_mut().as_mut() {
                         leading.lead.renewed(asked_at + span);
@@ -117,7 +122,7 @@
                 }
                 Err(error) => {
                     Line::new("lease_unsure").text("error", &error).info();
-                    tokio::time::sleep(STORE_PAUSE).await;
+                    tokio::time::sleep(RENEW_PAUSE).await;
                     continue;
                 }
             },
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -146,7 +146,7 @@
         let drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
         let log_lines = reader.count("log", "lines_per_second", 300);
         Some(FrontSettings {
-            lease: reader.span("store", "lease", 3_000),
+            lease: reader.span("store", "lease", 2_000),
             seat_lease: reader.span("store", "seat_lease", 30_000),
             call_timeout: reader.span("store", "call_timeout", 1_500),
             watch_wait: reader.span("store", "watch_wait", 1_500),
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -106,8 +106,15 @@
         Ok(store::lease_reply(status, &body)?)
     }
 
-    pub(crate) async fn keep(&self, lease: LeaseId) -> Result<KeepReply, StoreError> {
-        let (status, body) = self.call(&store::keep_call(lease), self.timeout).await?;
+    /// Renews a lease. The answer is waited for no longer than `limit`, so that a lost one leaves the
+    /// time for another try.
+    pub(crate) async fn keep(
+        &self,
+        lease: LeaseId,
+        limit: Duration,
+    ) -> Result<KeepReply, StoreError> {
+        let limit = limit.min(self.timeout);
+        let (status, body) = self.call(&store::keep_call(lease), limit).await?;
         Ok(store::keep_reply(status, &body)?)
     }
 
