Go on taking what the leader passes on while a configuration can't be read

Change: relayed changes are taken meanwhile; a failed read is tried again and says nothing of the store.

Measured: platform_path::unread_layout failed before (store_lost), passes.

--- a/crates/mangodeal/tests/platform_path.rs
+++ b/crates/mangodeal/tests/platform_path.rs
@@ -291,6 +291,33 @@
     });
 }
 
+/// A daemon that can't reach the store, and so not read a configuration that is too large to be passed
+/// on, goes on learning of everything else from the leader.
+#[test]
+fn unread_layout() {
+    run(async {
+        let fleet = PlatformFleet::start(2).await;
+        let follows = |front: &FrontProcess| {
+            front.log().iter().any(|line| line["event"] == "follows" && line["source"] == "leader")
+        };
+        eventually(Duration::from_secs(5), "one follows the leader", || async {
+            fleet.fronts.iter().any(follows)
+        })
+        .await;
+        let cut = fleet.fronts.iter().find(|front| follows(front)).unwrap();
+        cut.store.set_frozen(true);
+        let names: Vec<String> = (0..200).map(|number| format!("model-{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        fleet.store.put("op/config", &config(8, &names));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        sends_elsewhere(&fleet, cut.caller).await;
+        let log = cut.log();
+        let of = |event: &str| log.iter().filter(|line| line["event"] == event).count();
+        assert_eq!((of("store_lost"), of("list_outdated")), (0, 0));
+        assert!(of("value_unread") > 0);
+    });
+}
+
 #[test]
 fn withdrawn_key() {
     run(async {
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -76,7 +76,10 @@
             false => None,
         };
         let step = match (relayed_until, follower.plan.next(boot_time())) {
-            (_, StoreRead::Changes) if follower.may_read_omitted() => follower.read_omitted().await,
+            (_, StoreRead::Changes) if follower.may_read_omitted() => {
+                follower.read_omitted().await;
+                Ok(())
+            }
             (Some(until), _) => {
                 follower.follow_leader(until).await;
                 Ok(())
@@ -171,7 +174,7 @@
         let batches = std::mem::take(&mut *self.host.relayed.borrow_mut());
         let now = boot_time();
         // A leader that doesn't hear the store itself passes on what it knew before.
-        let is_fresh = self.host.relay.get().fresh_until(now).is_some();
+        let fresh_until = self.host.relay.get().fresh_until(now);
         for batch in batches {
             let until = batch.until;
             // One that begins later is asked for again by the next report.
@@ -179,8 +182,9 @@
                 self.take_all(now, changes.into_iter().map(KnownChange::from).collect(), until);
             }
         }
-        if is_fresh {
+        if let Some(until) = fresh_until {
             self.heard();
+            self.host.vouch_until(until);
         }
     }
 
@@ -192,16 +196,30 @@
     }
 
     /// Reads a value that the leader did not pass on.
-    async fn read_omitted(&mut self) -> Result<(), StoreError> {
-        let Some(key) = self.unread.last().cloned() else { return Ok(()) };
+    async fn read_omitted(&mut self) {
+        let Some(key) = self.unread.last().cloned() else { return };
         let host = self.host.clone();
         self.omitted_at = boot_time();
-        let item = host.store.key(&key).await?;
+        let mut call = std::pin::pin!(host.store.key(&key));
+        let item = loop {
+            tokio::select! {
+                item = &mut call => break item,
+                // The store may be out of reach for this daemon only.
+                () = host.relay_changed.notified() => self.take_relayed(),
+            }
+        };
+        let item = match item {
+            Ok(item) => item,
+            Err(error) => {
+                // It is read again after a pause; what the leader passes on holds meanwhile.
+                Line::new("value_unread").with("key", key.as_str()).text("error", &error).info();
+                return;
+            }
+        };
         self.unread.retain(|unread| *unread != key);
         if item.is_some_and(|item| self.take(boot_time(), KeyEvent::Put(item))) {
             self.changed();
         }
-        Ok(())
     }
 
     /// Notes that the daemon's own reads of the store tell which targets leave.
