--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -29,7 +29,7 @@
     pub id: u64,
     /// What it costs.
     pub cost: f64,
-    /// How long it may wait, in milliseconds.
+    /// How much longer it may wait, in milliseconds.
     pub patience_ms: u64,
 }
 
--- a/crates/front/src/purse.rs
+++ b/crates/front/src/purse.rs
@@ -94,7 +94,8 @@
 struct OpenAsk {
     id: u64,
     cost: f64,
-    patience: Duration,
+    /// By when it is to be paid for.
+    due: Time,
     /// Whether a report to the leader has it.
     is_sent: bool,
     /// When the leader said how long it must wait, and that.
@@ -236,7 +237,7 @@
     fn look_again(&mut self, now: Time, at: usize) -> PayVerdict {
         let ask = &mut self.asks[at];
         let Some((told_at, wait)) = ask.told else { return PayVerdict::Short };
-        if wait > ask.patience {
+        if told_at + wait > ask.due {
             self.asks.swap_remove(at);
             return PayVerdict::Exhausted(wait);
         }
@@ -255,8 +256,9 @@
         if wait > wish.patience {
             return PayVerdict::Exhausted(wait);
         }
-        let PayWish { id, cost, patience, .. } = *wish;
-        self.asks.push(OpenAsk { id, cost, patience, is_sent: false, told: None, award: None });
+        let PayWish { id, cost, .. } = *wish;
+        let due = now + wish.patience;
+        self.asks.push(OpenAsk { id, cost, due, is_sent: false, told: None, award: None });
         PayVerdict::Short
     }
 
@@ -306,7 +308,7 @@
         let waiting = self.asks.iter_mut().filter(|ask| ask.award.is_none());
         let asks = waiting.map(|ask| {
             ask.is_sent = true;
-            let patience_ms = u64::try_from(ask.patience.as_millis()).unwrap_or(u64::MAX);
+            let patience_ms = u64::try_from(ask.due.since(now).as_millis()).unwrap_or(u64::MAX);
             CostAsk { id: ask.id, cost: ask.cost, patience_ms }
         });
         let asks = asks.collect();
--- a/crates/lead/src/pool.rs
+++ b/crates/lead/src/pool.rs
@@ -21,14 +21,15 @@
     host: Name,
     id: u64,
     cost: f64,
-    patience: Duration,
+    /// By when it is to be paid for.
+    due: Time,
     seen: Time,
 }
 
 /// One team's allowance at the leader.
 ///
-/// Requests are paid for whole, in the order in which the leader heard of them: parts of what they
-/// cost would expire at many daemons without serving any.
+/// Requests are paid for whole, those that can wait least first: parts of what they cost would expire
+/// at many daemons without serving any.
 #[derive(Clone, Debug)]
 pub struct TokenPool {
     allowance: Allowance,
@@ -109,7 +110,7 @@
                 }
                 let wait = self.accrual(lacking);
                 waits.push((ask.id, wait));
-                if Duration::from_millis(wait) > ask.patience {
+                if Duration::from_millis(wait) > ask.due.since(now) {
                     return false;
                 }
             }
@@ -138,7 +139,7 @@
         self.demand.at(now) / self.allowance.per_second.max(f64::MIN_POSITIVE)
     }
 
-    /// Takes the requests that wait at a daemon. New ones go to the end.
+    /// Takes the requests that wait at a daemon.
     fn update_queue(&mut self, now: Time, host: &Name, asks: &[CostAsk]) {
         self.queue.retain(|queued| match queued.host == *host {
             true => asks.iter().any(|ask| ask.id == queued.id),
@@ -148,13 +149,13 @@
             let known = |queued: &&mut QueuedAsk| queued.host == *host && queued.id == ask.id;
             match self.queue.iter_mut().find(known) {
                 Some(queued) => queued.seen = now,
-                None => self.queue.push(QueuedAsk {
-                    host: host.clone(),
-                    id: ask.id,
-                    cost: ask.cost,
-                    patience: Duration::from_millis(ask.patience_ms),
-                    seen: now,
-                }),
+                None => {
+                    let due = now + Duration::from_millis(ask.patience_ms);
+                    let at = self.queue.partition_point(|queued| queued.due <= due);
+                    let (id, cost) = (ask.id, ask.cost);
+                    self.queue
+                        .insert(at, QueuedAsk { host: host.clone(), id, cost, due, seen: now });
+                }
             }
         }
     }
--- a/crates/lead/tests/team_pool.rs
+++ b/crates/lead/tests/team_pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use base::{SortedMap, Time};
-use fleet::Allowance;
+use fleet::{Allowance, CostAsk, TeamDraw};
 use front::{PayVerdict, PayWish, TeamPurse};
 use mango_lead::{SeatRoster, SeatTable, TokenPool};
 use rand::rngs::SmallRng;
@@ -265,3 +265,33 @@
         }
     }
 }
+
+/// Pattern: patient requests wait as hurried ones of the same team arrive. Those go first, and both
+/// are paid for in their time.
+#[test]
+fn hurried_first() {
+    let team: base::TeamName = "team".parse().unwrap();
+    let host: base::Name = "host-1".parse().unwrap();
+    let mut pool = TokenPool::new(Time::ZERO, ALLOWANCE);
+    let ask = |id, patience_ms| CostAsk { id, cost: 6_000.0, patience_ms };
+    let draw = |asks: Vec<CostAsk>| TeamDraw {
+        team: team.clone(),
+        asks,
+        arrived: 0.0,
+        ahead: 0.0,
+        returned: 0.0,
+    };
+    let at = Time::from_millis;
+    pool.accrue(at(10), &[], 1);
+    let first = pool.draw(at(10), &host, &draw(vec![ask(1, 1_000), ask(2, 1_000)]));
+    assert_eq!(first.awards, []);
+    pool.accrue(at(110), &[], 1);
+    // One of them has accrued; the hurried one takes it.
+    let asks = vec![ask(1, 900), ask(2, 900), ask(3, 100)];
+    let grant = pool.draw(at(110), &host, &draw(asks));
+    assert_eq!(grant.awards, [(3, 6_000.0)]);
+    assert!(grant.waits.iter().all(|(_, wait_ms)| *wait_ms <= 900), "{:?}", grant.waits);
+    pool.accrue(at(310), &[], 1);
+    let grant = pool.draw(at(310), &host, &draw(vec![ask(1, 700), ask(2, 700)]));
+    assert_eq!(grant.awards, [(1, 6_000.0), (2, 6_000.0)]);
+}
