--- a/crates/front/src/desk/step.rs
+++ b/crates/front/src/desk/step.rs
@@ -20,6 +20,8 @@
 const LOAD_RETRY_AFTER: Duration = Duration::from_millis(3_000);
 /// Part of its objective for which a request may wait for allowance that is about to accrue.
 const ACCRUAL_PART: u32 = 4;
+/// Most of that: kinds of requests that wait much longer than others are served much more often.
+const ACCRUAL_PATIENCE: Duration = Duration::from_millis(400);
 /// Least patience with a target that has not begun to answer.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_200));
 /// A request that comes back for a load should find it complete.
@@ -101,7 +103,7 @@
             return None;
         };
         let objective = ticket.route.objective.unwrap_or(ticket.route.timeout);
-        let patience = objective / ACCRUAL_PART;
+        let patience = (objective / ACCRUAL_PART).min(ACCRUAL_PATIENCE);
         let wish = PayWish { id, cost: ticket.cost, patience, draw: ticket.draw };
         match purse.pay(now, &wish, self.heard_at, self.seats) {
             PayVerdict::Paid => {
