--- a/crates/mangodeal/tests/second_answers.rs
+++ b/crates/mangodeal/tests/second_answers.rs
@@ -15,6 +15,9 @@
 
 const NOW: Duration = Duration::ZERO;
 
+/// Writes the answer to a request, and a copy of it or of the last one.
+type CopyWriter = fn(&RawRequest, &str, &str) -> Script;
+
 async fn list(fleet: &PlatformFleet, server: &RawServer, service: &str, models: &[&str]) {
     for old in ["orders-1", "orders-2", "engine-1", "engine-2"] {
         if fleet.server(old).service == service {
@@ -34,7 +37,7 @@
 /// is unknown.
 #[test]
 fn late_copy() {
-    let places: [(&str, fn(&RawRequest, &str, &str) -> Script); 4] = [
+    let places: [(&str, CopyWriter); 4] = [
         ("before the next request", |_, own, _| vec![(NOW, own.to_owned()), (NOW, own.to_owned())]),
         ("as the next request comes", |_, own, _| {
             vec![(NOW, own.to_owned()), (Duration::from_millis(20), own.to_owned())]
