Keep weak hosts from leading a large fleet, and shorten what a leader tells of loads

A host like that could lead, since others learn 3.5 s after a leader's last word that nobody does.

Change: when the leader is silent its word ends with its term, and at once for a daemon with half a core, which should lead next. Hosts with less than 0.2 cores delay their claims by 1.2 s more. The busiest targets are told in rows, 16 instead of 32.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -50,6 +50,7 @@
 
 /// Requests of some daemons on one target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "RunsRow", into = "RunsRow")]
 pub struct TargetRuns {
     /// Target.
     pub target: TargetName,
@@ -59,6 +60,21 @@
     pub pending_ms: u32,
 }
 
+/// The short form in messages: there are many.
+type RunsRow = (TargetName, u32, u32);
+
+impl From<RunsRow> for TargetRuns {
+    fn from((target, running, pending_ms): RunsRow) -> TargetRuns {
+        TargetRuns { target, running, pending_ms }
+    }
+}
+
+impl From<TargetRuns> for RunsRow {
+    fn from(runs: TargetRuns) -> RunsRow {
+        (runs.target, runs.running, runs.pending_ms)
+    }
+}
+
 /// A daemon's report to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SyncReport {
--- a/crates/lead/src/loads.rs
+++ b/crates/lead/src/loads.rs
@@ -11,7 +11,7 @@
 const BUSY_MS: u64 = 80;
 const BUSY_RUNS: u64 = 8;
 /// Targets told in one answer.
-const MAX_TOLD: usize = 32;
+const MAX_TOLD: usize = 16;
 
 /// Requests on one target, and work before its next first event, in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -139,13 +139,18 @@
         RelayView { life, fresh_until: Time::ZERO }
     }
 
-    /// Takes the leader's answer to a report that was sent at `asked_at`. While a leader is silent its
-    /// last word holds for as long as it would have.
+    /// Takes the leader's answer to a report that was sent at `asked_at`.
     pub fn replied(&mut self, asked_at: Time, batch: Option<&ChangeBatch>) {
         let life = batch.map(|batch| self.life.saturating_sub(Duration::from_millis(batch.age_ms)));
         self.fresh_until = life.map_or(Time::ZERO, |life| asked_at + life);
     }
 
+    /// Takes the leader's silence since an answer to a report that was sent at `heard_at`. When its
+    /// term may have run out, which is `lease` long, the daemon must look for the next leader.
+    pub fn silent(&mut self, heard_at: Time, lease: Duration) {
+        self.fresh_until = self.fresh_until.min(heard_at + lease);
+    }
+
     /// Returns until when the daemon need not read the store, if that is later than `now`.
     pub fn fresh_until(&self, now: Time) -> Option<Time> {
         (self.fresh_until > now).then_some(self.fresh_until)
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -24,6 +24,9 @@
 /// that a leaving target gives: then it must ask the store itself.
 const RELAY_MARGIN: Duration = Duration::from_millis(500);
 
+/// Cores with which a daemon can lead any fleet.
+pub(crate) const ROOMY_SHARE: f64 = 0.5;
+
 /// A request leaves by this much before a target that began to leave unnoticed would get it late.
 const SEND_MARGIN: Duration = Duration::from_millis(100);
 
@@ -140,6 +143,11 @@
         self.vouch.get().is_current(now)
     }
 
+    /// Returns whether this daemon has the processor time to lead any fleet.
+    pub(crate) fn is_roomy(&self) -> bool {
+        self.settings.cpu_share >= ROOMY_SHARE
+    }
+
     /// Returns whether the balancer may send connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.listed.get() && self.desk.borrow().layout().is_some()
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -54,8 +54,9 @@
         let report = host.desk.borrow_mut().report(asked_at, host.known.get());
         let mut reply = sync(&host, &report).await;
         let now = boot_time();
-        if let Some(reply) = &mut reply {
-            take_relayed(&host, asked_at, reply.changes.take());
+        match &mut reply {
+            Some(reply) => take_relayed(&host, asked_at, reply.changes.take()),
+            None => take_silence(&host),
         }
         if heard != reply.is_some() {
             heard = reply.is_some();
@@ -79,6 +80,17 @@
     host.relay_changed.notify_one();
 }
 
+/// Has the follower look for the next leader when the present one's term may have run out; at once
+/// where this daemon should be the next.
+fn take_silence(host: &Host) {
+    let heard_at = host.desk.borrow().leader_heard().1;
+    let lease = if host.is_roomy() { Duration::ZERO } else { host.settings.lease };
+    let mut view = host.relay.get();
+    view.silent(heard_at, lease);
+    host.relay.set(view);
+    host.relay_changed.notify_one();
+}
+
 async fn sync(host: &Host, report: &SyncReport) -> Option<SyncReply> {
     if host.leading.borrow().is_some() {
         return take_report(host, report);
--- a/crates/serve/src/seat.rs
+++ b/crates/serve/src/seat.rs
@@ -11,7 +11,7 @@
 use platform::store::{KeepReply, TxnReply};
 use serde::{Deserialize, Serialize};
 
-use crate::host::{sleep_until, Host, LeaderEntry};
+use crate::host::{sleep_until, Host, LeaderEntry, ROOMY_SHARE};
 use crate::orders::{targets_changed, Leading};
 use crate::store::StoreError;
 use crate::trail::Line;
@@ -43,11 +43,14 @@
 /// Most time by which a daemon delays its claim, by a draw, so that not all claim at once.
 const CLAIM_SPREAD_MS: u64 = 120;
 
-/// Cores with which a daemon can lead any fleet, and by how much daemons with less delay a claim.
-const ROOMY_SHARE: f64 = 0.5;
-
+/// By how much daemons with less processor time than any fleet needs delay a claim.
 const CLAIM_HANDICAP: Duration = Duration::from_millis(400);
 
+/// Cores with which a daemon can't lead a large fleet, and by how much it delays a claim besides:
+/// the others should have found out that nobody leads by then.
+const SCANT_SHARE: f64 = 0.2;
+const SCANT_HANDICAP: Duration = Duration::from_millis(1_200);
+
 /// Departures that a new leader passes on were learnt within this time: the store doesn't list
 /// older ones any more.
 const DEPARTURE_SPAN: Duration = Duration::from_secs(60);
@@ -151,7 +154,9 @@
 fn claim_delay(host: &Host) -> Duration {
     let lacking = (1.0 - host.settings.cpu_share / ROOMY_SHARE).clamp(0.0, 1.0);
     let jitter = Duration::from_millis(rand::random::<u64>() % CLAIM_SPREAD_MS);
-    CLAIM_HANDICAP.mul_f64(lacking) + jitter
+    let scant = host.settings.cpu_share < SCANT_SHARE;
+    let scant = if scant { SCANT_HANDICAP } else { Duration::ZERO };
+    CLAIM_HANDICAP.mul_f64(lacking) + scant + jitter
 }
 
 /// Gets a lease and puts the seat's key under it.
