Give a target one request in half a second after it asked to be spared, also when that is given up

A safe request that is given up after 100 ms of silence freed the place for the next one.

Change: until the target has begun to answer, it gets one request in 500 ms.

Measured: target_choice::silent_trial failed before, passes.

--- a/crates/front/src/book.rs
+++ b/crates/front/src/book.rs
@@ -29,9 +29,8 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Targets that left by their own word and are remembered.
 const MAX_DEPARTED: usize = 4_096;
-/// A target that asked to be spared gets so many requests at first, until it has begun to answer
-/// one.
-const TRIAL_RUNS: usize = 1;
+/// A target that asked to be spared gets one request in this time until it has begun to answer one.
+const TRIAL_SPAN: Duration = Duration::from_millis(500);
 /// Time by which a run may exceed twice its estimate before its target counts as silent.
 const SILENCE_SLACK: Duration = Duration::from_millis(250);
 
@@ -88,6 +87,8 @@
     spared_until: Time,
     /// Set since the target asked to be spared, until it answers again.
     on_trial: bool,
+    /// When it got its last request meanwhile.
+    tried_at: Option<Time>,
     notes: Vec<HoldingNote>,
     pub(crate) record: PartRecord,
 }
@@ -107,6 +108,7 @@
             dead_until: now,
             spared_until: now,
             on_trial: false,
+            tried_at: None,
             notes: Vec::new(),
             record: PartRecord::default(),
         }
@@ -118,20 +120,19 @@
             && self.lapsed_until.is_none_or(|until| now < until)
             && now >= self.dead_until
             && now >= self.spared_until
-            && !self.is_tried()
+            && !self.is_tried(now)
     }
 
-    /// Returns whether the target has not answered yet since it asked to be spared, and has its
-    /// first requests.
-    fn is_tried(&self) -> bool {
-        let pending = self.runs.iter().filter(|run| !run.begun).count();
-        self.on_trial && pending >= TRIAL_RUNS
+    /// Returns whether the target has not answered yet since it asked to be spared, and just got a
+    /// request.
+    fn is_tried(&self, now: Time) -> bool {
+        self.on_trial && self.tried_at.is_some_and(|at| now.since(at) < TRIAL_SPAN)
     }
 
     /// Returns when a target that would take requests but wants to be spared will take some; now
     /// for one that has its first request since.
     fn spare_end(&self, now: Time) -> Option<Time> {
-        let waits = now < self.spared_until || self.is_tried();
+        let waits = now < self.spared_until || self.is_tried(now);
         let stays = self.entry.phase == TargetPhase::Ready && now >= self.dead_until;
         (waits && stays).then(|| self.spared_until.max(now))
     }
@@ -361,7 +362,7 @@
     pub fn spare(&mut self, name: &TargetName, until: Time) {
         if let Some(state) = self.targets.get_mut(name) {
             state.spared_until = state.spared_until.max(until);
-            state.on_trial = true;
+            (state.on_trial, state.tried_at) = (true, None);
         }
     }
 
@@ -510,6 +511,7 @@
     ) {
         if let Some(state) = self.targets.get_mut(name) {
             state.runs.push(OwnRun { request, since: now, work, estimate, begun: false });
+            state.tried_at = state.on_trial.then_some(now);
         }
     }
 
--- a/crates/front/tests/target_choice.rs
+++ b/crates/front/tests/target_choice.rs
@@ -254,3 +254,22 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// A target that asked to be spared gets one request at first. Where that one is given up without an
+/// answer, the next one doesn't follow at once.
+#[test]
+fn silent_trial() {
+    let mut desk = desk(vec![target("t1", "plain", "east", &[])]);
+    let name = "t1".parse().unwrap();
+    let until = desk.target_spared(at(0), &name, Duration::from_secs(2));
+    let trial = admit(&mut desk, until, "/safe/1");
+    sent(desk.step(until, trial));
+    desk.ended(until + Duration::from_millis(100), trial, AttemptEnd::Silent);
+    let soon = until + Duration::from_millis(110);
+    let next = admit(&mut desk, soon, "/safe/2");
+    let step = desk.step(soon, next);
+    assert!(!matches!(step, Step::Send(_)), "{step:?}");
+    let later = until + Duration::from_millis(600);
+    let last = admit(&mut desk, later, "/safe/3");
+    sent(desk.step(later, last));
+}
