Log and count the limits that targets name

Change: Server-Limit is parsed (the lowest valid value; a malformed one changes nothing) and recorded for each start of a target in the new crate limit. A line target_limit names the answer that said so; the metrics limited_sends and limited_targets count. No decision depends on it.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -62,6 +62,8 @@
     pub sends: u64,
     /// Attempts beyond the first of a request.
     pub repeats: u64,
+    /// Requests sent to targets that had named a limit.
+    pub limited_sends: u64,
     /// Requests that waited for a model to be loaded.
     pub load_waits: u64,
 }
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -280,6 +280,7 @@
             self.counts.repeats += 1;
         }
         self.counts.sends += 1;
+        self.counts.limited_sends += u64::from(self.targets.limit(&choice.target).is_some());
         request.sends += 1;
         if !request.tried.contains(&choice.target) {
             request.tried.push(choice.target.clone());
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -4,6 +4,7 @@
 
 use base::{DomainName, ModelName, Name, SortedMap, TargetName, Time};
 use fleet::{ModelRef, TargetDeparture, TargetEntry, TargetLoad, TargetOccupancy, TargetPhase};
+use limit::{LimitNotice, LimitTable, RequestRate};
 
 use crate::record::PartRecord;
 use crate::request::AttemptEnd;
@@ -240,6 +241,8 @@
     /// Targets that announced their departure, with the time of their start in milliseconds and
     /// when the departure was learnt.
     departed: SortedMap<TargetName, (u64, Time)>,
+    /// Limits that targets have named.
+    limits: LimitTable,
     /// When the leader last reported other daemons' requests.
     other_load_at: Option<Time>,
 }
@@ -376,6 +379,28 @@
         recent.map(departure).collect()
     }
 
+    /// Records what an answer says about its target's limit. Returns whether that changes the limit.
+    pub fn record_limit(&mut self, now: Time, name: &TargetName, notice: LimitNotice) -> bool {
+        let Some(born_ms) = self.targets.get(name).map(|state| state.entry.born_ms) else {
+            return false;
+        };
+        match notice {
+            LimitNotice::Named(rate) => self.limits.record_rate(now, name, born_ms, rate),
+            LimitNotice::Absent => self.limits.record_absence(name, born_ms),
+            LimitNotice::Malformed => false,
+        }
+    }
+
+    /// Returns the limit that a target has named, if it has one.
+    pub fn limit(&self, name: &TargetName) -> Option<RequestRate> {
+        self.limits.rate(name, self.targets.get(name)?.entry.born_ms)
+    }
+
+    /// Returns the number of targets with a limit.
+    pub fn limited_count(&self) -> usize {
+        self.limits.len()
+    }
+
     /// Sends nothing to a target until the given time, because it asked for a pause.
     pub fn pause(&mut self, name: &TargetName, until: Time) {
         if let Some(state) = self.targets.get_mut(name) {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use limit::{LimitNotice, RequestRate};
 use platform::request::{
     answer_headers, forward_headers, read_answer, AddedHeaders, AnswerHead, TargetNotice,
 };
@@ -176,6 +177,8 @@
     // address, so it says nothing about the target.
     if head.instance.is_some() || response.status() != StatusCode::MISDIRECTED_REQUEST {
         apply_target_notice(host, sender, head.notice);
+        let attempt = request.attempt_id.as_ref().and_then(|value| value.to_str().ok());
+        record_limit(host, sender, head.notice.limit, attempt.unwrap_or_default());
     }
     if let Some(end) = classify_answer(&head, response.status(), dispatch) {
         if end.is_not_run() && end != AttemptEnd::Replaced {
@@ -234,6 +237,20 @@
     }
 }
 
+/// Records what an answer says about its target's limit, and logs a change. `answer` identifies the
+/// answer in the log: the attempt, or the kind of call.
+pub(crate) fn record_limit(host: &Host, target: &TargetName, notice: LimitNotice, answer: &str) {
+    let mut dispatcher = host.dispatcher.borrow_mut();
+    if dispatcher.targets_mut().record_limit(boot_time(), target, notice) {
+        let rate = dispatcher.targets().limit(target).map(RequestRate::per_second);
+        LogLine::new("target_limit")
+            .text("target", target)
+            .with("per_second", rate)
+            .with("request", answer)
+            .info();
+    }
+}
+
 /// Returns how the attempt ended if the answer is not a valid answer to the request.
 fn classify_answer(
     head: &AnswerHead,
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -136,6 +136,8 @@
         self.metrics.text(Readings {
             sends: counts.sends,
             repeats: counts.repeats,
+            limited_sends: counts.limited_sends,
+            limited_targets: dispatcher.targets().limited_count(),
             open_requests: dispatcher.open_count(),
             store_calls: self.store.call_count(),
             lines_dropped: self.dropped_lines.total(),
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -22,6 +22,8 @@
     answer_time: Histogram,
     sends: Gauge<i64>,
     repeats: Gauge<i64>,
+    limited_sends: Gauge<i64>,
+    limited_targets: Gauge<i64>,
     open_requests: Gauge<i64>,
     store_calls: Gauge<i64>,
     lines_dropped: Gauge<i64>,
@@ -34,6 +36,8 @@
 pub(crate) struct Readings {
     pub(crate) sends: u64,
     pub(crate) repeats: u64,
+    pub(crate) limited_sends: u64,
+    pub(crate) limited_targets: usize,
     pub(crate) open_requests: usize,
     pub(crate) store_calls: u64,
     pub(crate) lines_dropped: u64,
@@ -54,6 +58,8 @@
             answer_time: time_histogram(),
             sends: Gauge::default(),
             repeats: Gauge::default(),
+            limited_sends: Gauge::default(),
+            limited_targets: Gauge::default(),
             open_requests: Gauge::default(),
             store_calls: Gauge::default(),
             lines_dropped: Gauge::default(),
@@ -76,6 +82,16 @@
         registry.register("whole_seconds", "Time to the whole answer", metrics.answer_time.clone());
         registry.register("sends", "Transmissions to targets", metrics.sends.clone());
         registry.register("repeats", "Repeated transmissions", metrics.repeats.clone());
+        registry.register(
+            "limited_sends",
+            "Transmissions to targets that had named a limit",
+            metrics.limited_sends.clone(),
+        );
+        registry.register(
+            "limited_targets",
+            "Targets that have named a limit",
+            metrics.limited_targets.clone(),
+        );
         registry.register("open_requests", "Requests in the daemon", metrics.open_requests.clone());
         registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
         registry.register("lines_dropped", "Dropped log lines", metrics.lines_dropped.clone());
@@ -113,6 +129,8 @@
         let to_gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         self.sends.set(to_gauge(readings.sends));
         self.repeats.set(to_gauge(readings.repeats));
+        self.limited_sends.set(to_gauge(readings.limited_sends));
+        self.limited_targets.set(i64::try_from(readings.limited_targets).unwrap_or(i64::MAX));
         self.open_requests.set(i64::try_from(readings.open_requests).unwrap_or(i64::MAX));
         self.store_calls.set(to_gauge(readings.store_calls));
         self.lines_dropped.set(to_gauge(readings.lines_dropped));
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -12,7 +12,7 @@
 
 use crate::conn::{ConnError, PooledConn};
 use crate::election::resign;
-use crate::exchange::{apply_target_notice, MAX_IDLE_TIME};
+use crate::exchange::{apply_target_notice, record_limit, MAX_IDLE_TIME};
 use crate::host::{sleep_until, Host, MAX_LOOP_PAUSE};
 use crate::logging::LogLine;
 use crate::peer::CONNECT_TIMEOUT;
@@ -141,7 +141,9 @@
         Some(answer)
     };
     let answer = tokio::time::timeout(ENGINE_TIMEOUT, exchange).await.ok()??;
-    apply_target_notice(host, target, read_notice(answer.status(), answer.headers()));
+    let notice = read_notice(answer.status(), answer.headers());
+    apply_target_notice(host, target, notice);
+    record_limit(host, target, notice.limit, "report");
     match report_reply(answer.status().as_u16(), answer.body()) {
         Ok(report) => Some(report),
         Err(error) => {
@@ -173,11 +175,9 @@
     let sending = conn.call(address, &call, instance_header(&order.target));
     match tokio::time::timeout(ENGINE_TIMEOUT, sending).await {
         Ok(Ok(answer)) => {
-            apply_target_notice(
-                host,
-                &order.target,
-                read_notice(answer.status(), answer.headers()),
-            );
+            let notice = read_notice(answer.status(), answer.headers());
+            apply_target_notice(host, &order.target, notice);
+            record_limit(host, &order.target, notice.limit, "order");
             order_reply(answer.status().as_u16())
         }
         Ok(Err(ConnError::NotSent)) => OrderReply::NotSent,
