--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -1,6 +1,9 @@
 //! Messages between daemons and the leader.
 
+use std::time::Duration;
+
 use base::{ModelName, Name, Revision, TargetName, TeamName};
+use limit::{LimitStatement, PermitDenial, PermitUse};
 use serde::{Deserialize, Serialize};
 
 use crate::{ChangeBatch, ModelRef, TargetDeparture};
@@ -101,6 +104,9 @@
     /// replies.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<TargetDeparture>,
+    /// Limits that targets named or ended. An entry is repeated until a leader replies.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitStatement>,
     /// Needed amounts, by team.
     pub draws: Vec<TeamDraw>,
 }
@@ -157,6 +163,9 @@
     /// Targets that told other daemons that they are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<TargetDeparture>,
+    /// Limits of targets that the daemon may not know.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitStatement>,
     /// Store changes that the daemon lacks, if the leader has all of them.
     pub changes: Option<ChangeBatch>,
 }
@@ -178,3 +187,48 @@
     /// Time after which the daemon should ask again, in milliseconds, if the target is busy.
     pub wait_ms: Option<u64>,
 }
+
+/// A request to the leader for a permit to send one request to a limited target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// What the daemon knows of the limit.
+    pub statement: LimitStatement,
+    /// What the permit is for.
+    pub purpose: PermitUse,
+}
+
+/// The leader's answer to a [`PermitRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// Fencing token of the leader's term.
+    pub fence: u64,
+    /// If no permit is issued, the time until the next one is available, in milliseconds.
+    pub next_ms: Option<u64>,
+    /// If no permit is issued, the time after which a caller should return, in milliseconds.
+    pub hint_ms: u64,
+}
+
+impl PermitReply {
+    /// Creates the answer in a leader's term.
+    pub fn new(fence: u64, result: Result<(), PermitDenial>) -> PermitReply {
+        // Rounded up, so that the permit is available when the daemon asks again.
+        let millis = |span: Duration| u64::try_from(span.as_millis()).map_or(u64::MAX, |ms| ms + 1);
+        match result {
+            Ok(()) => PermitReply { fence, next_ms: None, hint_ms: 0 },
+            Err(PermitDenial { next, hint }) => {
+                PermitReply { fence, next_ms: Some(millis(next)), hint_ms: millis(hint) }
+            }
+        }
+    }
+
+    /// Returns whether a permit was issued.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to ask again if none was issued.
+    pub fn result(&self) -> Result<(), PermitDenial> {
+        let hint = Duration::from_millis(self.hint_ms);
+        self.next_ms
+            .map_or(Ok(()), |ms| Err(PermitDenial { next: Duration::from_millis(ms), hint }))
+    }
+}
--- a/crates/front/src/choice.rs
+++ b/crates/front/src/choice.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::request::{ChoiceNote, OpenRequest};
-use crate::targets::{TargetState, TargetTable};
+use crate::targets::{TargetAccess, TargetState, TargetTable};
 
 /// Prompt tokens that an engine reads per millisecond, until observations correct it.
 const READ_TOKENS_PER_MS: f64 = 40.0;
@@ -114,11 +114,13 @@
         now: Time,
         request: &OpenRequest,
         targets: &TargetTable,
+        access: TargetAccess,
     ) -> Option<Choice> {
         let work = self.average_work.get(&request.service).copied().unwrap_or(PLAIN_WORK);
         let mut scored = Vec::new();
-        for state in
-            targets.of_service(now, &request.service).filter(|s| request.may_try(&s.entry.name))
+        for state in targets
+            .of_service(now, &request.service)
+            .filter(|s| request.may_try(&s.entry.name) && targets.allows(now, s, request, access))
         {
             let own = u32::try_from(state.run_count()).unwrap_or(u32::MAX);
             let occupied = own.saturating_add(state.other_runs(now));
@@ -141,11 +143,13 @@
         request: &OpenRequest,
         subject: &ModelRef,
         targets: &TargetTable,
+        access: TargetAccess,
     ) -> Option<Choice> {
         let base = ModelRef { model: subject.model.clone(), adapter: None };
         let mut holders: Vec<&TargetState> = targets
             .of_service(now, &request.service)
             .filter(|s| s.holds(now, &base) && request.may_try(&s.entry.name))
+            .filter(|s| targets.allows(now, s, request, access))
             .filter(|s| {
                 let name = &s.entry.name;
                 let failed = |(n, until): &(TargetName, Time)| n == name && now < *until;
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -11,11 +11,15 @@
 use base::{Name, ResultCode, SortedMap, TargetName, TeamName, Time};
 use fleet::{FleetLayout, LayoutVersion, ModelRef, TargetDeparture, TargetLoad};
 
+use limit::{LimitNotice, PERMIT_VALIDITY};
+
 use crate::budget::TeamBudget;
 use crate::choice::TargetChooser;
 use crate::demand::DemandTable;
 use crate::record::PromptChain;
-use crate::request::{Arrival, AttemptEnd, FetchEnd, OpenRequest, Refusal, RequestStage, Step};
+use crate::request::{
+    Arrival, AttemptEnd, FetchEnd, OpenRequest, PermitEnd, Refusal, RequestStage, Step,
+};
 use crate::retry::RetryBudget;
 use crate::targets::TargetTable;
 use crate::DispatcherConfig;
@@ -91,6 +95,8 @@
     /// Targets that announced their departure to this daemon, with the number of the first report
     /// that included it. Each is kept until a leader has answered that report.
     leaving: Vec<(TargetDeparture, Option<u64>)>,
+    /// Targets whose limits the leader should learn, likewise.
+    changed_limits: Vec<(TargetName, Option<u64>)>,
 }
 
 impl RequestDispatcher {
@@ -99,9 +105,8 @@
         RequestDispatcher {
             chooser: TargetChooser::new(config.domain.clone(), config.seed),
             incarnation: config.seed,
-            config,
             layout: None,
-            targets: TargetTable::default(),
+            targets: TargetTable::new(config.seed),
             retry_budgets: SortedMap::default(),
             budgets: SortedMap::default(),
             demand_table: DemandTable::default(),
@@ -114,7 +119,9 @@
             sync_number: 0,
             acknowledged: 0,
             synced_at: now,
+            config,
             leaving: Vec::new(),
+            changed_limits: Vec::new(),
         }
     }
 
@@ -126,6 +133,21 @@
         is_new
     }
 
+    /// Records what an answer says about its target's limit; see [`TargetTable::record_limit`].
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        target: &TargetName,
+        sent_at: Time,
+        notice: LimitNotice,
+        is_complete: bool,
+    ) {
+        if self.targets.record_limit(now, target, sent_at, notice, is_complete) {
+            self.changed_limits.retain(|(changed, _)| changed != target);
+            self.changed_limits.push((target.clone(), None));
+        }
+    }
+
     /// Pauses a target that asked this daemon for it. Returns when the pause ends.
     pub fn pause_target(&mut self, now: Time, target: &TargetName, span: Duration) -> Time {
         let until = now + span + span.mul_f64(PAUSE_JITTER * self.chooser.random_fraction());
@@ -133,17 +155,20 @@
         until
     }
 
-    /// Returns how long all targets that could serve a request are paused; `None` when one of them
-    /// takes requests, or when none is paused.
-    fn paused_for(
+    /// Returns how long all targets that could serve a request are paused or limited; `None` when
+    /// another one takes requests, or when none is.
+    fn return_wait(
         &self,
         now: Time,
         service: &Name,
         subject: Option<&ModelRef>,
     ) -> Option<Duration> {
         let mut ready = self.targets.of_service(now, service);
-        let has_ready = ready.any(|state| subject.is_none_or(|subject| state.holds(now, subject)));
-        let end = self.targets.pause_end(now, service, subject).filter(|_| !has_ready);
+        let has_ready = ready.any(|state| {
+            subject.is_none_or(|subject| state.holds(now, subject))
+                && self.targets.limit(&state.entry.name).is_none()
+        });
+        let end = self.targets.return_time(now, service, subject).filter(|_| !has_ready);
         end.map(|end| end.since(now))
     }
 
@@ -274,6 +299,8 @@
             tried: Vec::new(),
             sends: 0,
             fetches: 0,
+            permit: None,
+            permit_asks: 0,
             failed_fetches: Vec::new(),
             may_have_run: false,
             last_end: None,
@@ -340,6 +367,23 @@
         }
     }
 
+    /// Records the leader's answer to a [`Step::Permit`] that was asked for at `asked_at`.
+    pub fn finish_permit(&mut self, now: Time, asked_at: Time, id: u64, end: PermitEnd) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let RequestStage::AwaitingPermit(target, purpose) =
+            std::mem::replace(&mut request.stage, RequestStage::Waiting)
+        else {
+            return;
+        };
+        match end {
+            PermitEnd::Issued => request.permit = Some((target, asked_at + PERMIT_VALIDITY)),
+            PermitEnd::Denied(denial) => {
+                self.targets.limits_mut().record_denial(now, &target, purpose, denial);
+            }
+            PermitEnd::Failed => self.targets.limits_mut().record_silence(now, &target),
+        }
+    }
+
     /// Returns whether a request whose target has not begun to answer should go to another target.
     pub fn should_reroute(&mut self, now: Time, id: u64) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
@@ -347,7 +391,12 @@
         let others = self.targets.of_service(now, &request.service).filter(|state| {
             let name = &state.entry.name;
             let holds = request.model.as_ref().is_none_or(|subject| state.holds(now, subject));
-            name != target && !request.tried.contains(name) && !state.is_avoided(now) && holds
+            let is_limited = self.targets.limit(name).is_some();
+            name != target
+                && !request.tried.contains(name)
+                && !state.is_avoided(now)
+                && holds
+                && !is_limited
         });
         let daemons = self.daemons;
         others.count() > 0
@@ -424,7 +473,7 @@
             return NextAction::PassOn;
         }
         let (service, subject) = (request.service.clone(), request.model.clone());
-        let wait = self.paused_for(now, &service, subject.as_ref()).unwrap_or(RETRY_AFTER);
+        let wait = self.return_wait(now, &service, subject.as_ref()).unwrap_or(RETRY_AFTER);
         let Some(request) = self.requests.get(&id) else { return NextAction::PassOn };
         let refusal = request.to_refusal(ResultCode::NoCapacity, wait, "attempts used up");
         let not_run = !request.may_have_run;
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -3,17 +3,21 @@
 use std::time::Duration;
 
 use base::{Name, ResultCode, TargetName, Time};
-use fleet::ModelRef;
+use fleet::{ModelRef, PermitRequest};
+use limit::PermitUse;
 
 use super::{RequestDispatcher, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::budget::{ChargeResult, RequestCharge};
 use crate::choice::Choice;
 use crate::request::{Dispatch, OpenRequest, Refusal, RequestStage, Step};
+use crate::targets::TargetAccess;
 
 /// How long a request waits for the leader's first statement on its model.
 const ESTIMATE_PATIENCE: Duration = Duration::from_millis(2_500);
 /// Maximum number of adapter fetches for one request.
 const MAX_FETCHES: u32 = 8;
+/// Maximum number of permits that are asked for one request.
+const MAX_PERMIT_ASKS: u32 = 3;
 /// Longest wait for a load. For a load that ends later, the client does better to retry.
 const LOAD_PATIENCE: Duration = Duration::from_secs(14);
 /// Retry hint for a model that the leader doesn't know yet.
@@ -123,12 +127,13 @@
     }
 
     fn decide_plain(&mut self, now: Time, id: u64) -> Step {
+        self.targets.expire_other_load(now);
+        let choice = self.find_choice(now, id, None);
         let Some(request) = self.requests.get(&id) else {
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
-        self.targets.expire_other_load(now);
-        let Some(choice) = self.chooser.choose_plain(now, request, &self.targets) else {
-            if let Some(step) = self.paused_step(now, request, None) {
+        let Some((choice, access)) = choice else {
+            if let Some(step) = self.return_step(now, request, None) {
                 return step;
             }
             return Step::Refuse(request.to_refusal(
@@ -145,23 +150,22 @@
                 "queue too long",
             ));
         }
-        self.send(now, id, choice)
+        self.use_choice(now, id, choice, access)
     }
 
     fn decide_engine(&mut self, now: Time, id: u64, subject: &ModelRef) -> Step {
-        let Some(request) = self.requests.get(&id) else {
-            return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
-        };
         self.targets.expire_other_load(now);
-        let choice = self.chooser.choose_engine(now, request, subject, &self.targets);
-        if let Some(choice) = choice {
+        if let Some((choice, access)) = self.find_choice(now, id, Some(subject)) {
             self.demand_table.remove_waiting(&subject.model, id);
-            if choice.lacks_adapter {
+            if choice.lacks_adapter && !access.needs_permit() {
                 return self.fetch(id, choice.target, subject);
             }
-            return self.send(now, id, choice);
+            return self.use_choice(now, id, choice, access);
         }
-        if let Some(step) = self.paused_step(now, request, Some(subject)) {
+        let Some(request) = self.requests.get(&id) else {
+            return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
+        };
+        if let Some(step) = self.return_step(now, request, Some(subject)) {
             return step;
         }
         if let Some(retry_at) = request.failed_fetches.iter().map(|(_, until)| *until).min() {
@@ -217,20 +221,80 @@
         }
     }
 
-    /// Returns the step for a request whose targets are all paused: a refusal with a retry hint, or
-    /// a wait for the answer to a probe.
-    fn paused_step(
+    /// Chooses a target, and how the request may use it. Targets without a limit come first.
+    fn find_choice(
+        &mut self,
+        now: Time,
+        id: u64,
+        subject: Option<&ModelRef>,
+    ) -> Option<(Choice, TargetAccess)> {
+        let request = self.requests.get(&id)?;
+        let has_limits = !self.targets.limits().is_empty();
+        let may_ask =
+            has_limits && request.permit_asks < MAX_PERMIT_ASKS && self.leader_wait(now).is_zero();
+        let may_probe = may_ask && request.permit_asks == 0 && request.sends == 0;
+        let accesses = [
+            (TargetAccess::Permitted, has_limits && request.permit.is_some()),
+            (TargetAccess::Probe(self.daemons), may_probe),
+            (TargetAccess::Unlimited, true),
+            (TargetAccess::Limited, may_ask),
+        ];
+        let mut late = None;
+        for (access, is_possible) in accesses {
+            let choice = match subject {
+                _ if !is_possible => None,
+                Some(subject) => {
+                    self.chooser.choose_engine(now, request, subject, &self.targets, access)
+                }
+                None => self.chooser.choose_plain(now, request, &self.targets, access),
+            };
+            let Some(choice) = choice else { continue };
+            // A limited target may be faster than one with a long queue.
+            let objective = request.route.objective.unwrap_or(request.route.timeout);
+            if !may_ask || access == TargetAccess::Permitted || choice.note.estimate <= objective {
+                return Some((choice, access));
+            }
+            if !matches!(access, TargetAccess::Probe(_)) {
+                late = late.or(Some((choice, access)));
+            }
+        }
+        late
+    }
+
+    /// Sends a request to its target, or asks for a permit first.
+    fn use_choice(&mut self, now: Time, id: u64, choice: Choice, access: TargetAccess) -> Step {
+        if !access.needs_permit() {
+            return self.send(now, id, choice);
+        }
+        let statement = self.targets.limits().statement(now, &choice.target);
+        let Some((request, statement)) = self.requests.get_mut(&id).zip(statement) else {
+            return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
+        };
+        request.permit_asks += 1;
+        let purpose = match access {
+            TargetAccess::Probe(_) => PermitUse::Probe,
+            _ => PermitUse::Request,
+        };
+        self.targets.limits_mut().record_ask(now, &choice.target, purpose);
+        request.stage = RequestStage::AwaitingPermit(choice.target, purpose);
+        Step::Permit(Box::new(PermitRequest { statement, purpose }))
+    }
+
+    /// Returns the step for a request whose targets are all paused or limited: a refusal with a
+    /// retry hint, or a wait for the answer to a probe.
+    fn return_step(
         &self,
         now: Time,
         request: &OpenRequest,
         subject: Option<&ModelRef>,
     ) -> Option<Step> {
-        let wait = self.paused_for(now, &request.service, subject)?;
+        let wait = self.return_wait(now, &request.service, subject)?;
         if wait.is_zero() && request.tried.is_empty() {
             return Some(Step::Wait((now + PROBE_PAUSE).min(request.first_event_by)));
         }
-        let wait = wait.max(SYNC_PAUSE);
-        let refusal = request.to_refusal(ResultCode::NoCapacity, wait, "targets ask to be spared");
+        let wait = wait.max(self.leader_wait(now)).max(SYNC_PAUSE);
+        let refusal =
+            request.to_refusal(ResultCode::NoCapacity, wait, "targets are paused or limited");
         Some(Step::Refuse(refusal))
     }
 
@@ -286,6 +350,7 @@
             request.tried.push(choice.target.clone());
         }
         request.stage = RequestStage::Running(choice.target.clone());
+        let permit = request.permit.take().filter(|(target, _)| *target == choice.target);
         let estimate = choice.note.estimate;
         self.targets.record_start(now, &choice.target, id, (choice.work, estimate));
         if let Some(state) = self.targets.state_mut(&choice.target) {
@@ -308,6 +373,7 @@
             urgency: request.model.is_some().then_some(request.urgency),
             repeatable,
             reroute_at,
+            send_by: permit.map(|(_, end)| end),
             note: choice.note,
         }))
     }
--- a/crates/front/src/dispatcher/sync.rs
+++ b/crates/front/src/dispatcher/sync.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use base::{Revision, Time};
+use base::{Revision, TargetName, Time};
 use fleet::{SyncReply, SyncReport, TargetDeparture};
+use limit::LimitStatement;
 
 use super::{RequestDispatcher, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::budget::TeamBudget;
@@ -25,7 +26,10 @@
 impl RequestDispatcher {
     /// Returns when the next report to the leader is due.
     pub fn sync_due(&self, now: Time) -> Time {
-        if self.demand_table.is_urgent() || self.budgets.values().any(TeamBudget::is_urgent) {
+        if self.demand_table.is_urgent()
+            || self.changed_limits.iter().any(|(_, first_report)| first_report.is_none())
+            || self.budgets.values().any(TeamBudget::is_urgent)
+        {
             return self.synced_at + SYNC_PAUSE;
         }
         let active = self.demand_table.has_waiting()
@@ -63,6 +67,7 @@
             runs: self.targets.occupancy(now),
             suspects: self.targets.unreachable(now),
             leaving: self.report_leaving(),
+            limits: self.report_limits(now),
         }
     }
 
@@ -75,16 +80,31 @@
         self.leaving.iter().map(|(departure, _)| departure.clone()).collect()
     }
 
-    /// Applies the leader's reply to a report that was sent at `asked_at`.
-    pub fn apply_reply(&mut self, now: Time, asked_at: Time, reply: &SyncReply) {
+    /// Returns the limits that no leader has acknowledged yet.
+    fn report_limits(&mut self, now: Time) -> Vec<LimitStatement> {
+        let number = self.sync_number;
+        self.changed_limits
+            .iter_mut()
+            .for_each(|(_, first_report)| *first_report = first_report.or(Some(number)));
+        let changed = self.changed_limits.iter();
+        changed.filter_map(|(target, _)| self.targets.limits().statement(now, target)).collect()
+    }
+
+    /// Applies the leader's reply to a report that was sent at `asked_at`. Returns the targets whose
+    /// limits have changed.
+    pub fn apply_reply(&mut self, now: Time, asked_at: Time, reply: &SyncReply) -> Vec<TargetName> {
         if reply.fence < self.fence {
-            return;
+            return Vec::new();
         }
+        self.changed_limits
+            .retain(|(_, first_report)| first_report.is_none_or(|number| number > reply.number));
         self.leaving
             .retain(|(_, first_report)| first_report.is_none_or(|number| number > reply.number));
         if reply.fence > self.fence {
             let known = self.targets.departures(now, DEPARTURE_SPAN);
             self.leaving = known.into_iter().map(|departure| (departure, None)).collect();
+            let limited = self.targets.limits().targets();
+            self.changed_limits = limited.map(|target| (target.clone(), None)).collect();
         }
         for departure in &reply.leaving {
             self.targets.record_departure(now, departure);
@@ -108,5 +128,8 @@
         for (target, model) in &reply.retiring {
             self.targets.record_model(now, target, model, false);
         }
+        let limits = self.targets.limits_mut();
+        let changed = reply.limits.iter().filter(|limit| limits.apply_statement(now, limit));
+        changed.map(|limit| limit.target.clone()).collect()
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -43,6 +43,6 @@
 pub use budget::{BudgetDraw, ChargeResult, RequestCharge, TeamBudget};
 pub use config::DispatcherConfig;
 pub use dispatcher::{DispatchCounts, NextAction, RequestDispatcher};
-pub use request::{Arrival, AttemptEnd, ChoiceNote, Dispatch, FetchEnd, Refusal, Step};
+pub use request::{Arrival, AttemptEnd, ChoiceNote, Dispatch, FetchEnd, PermitEnd, Refusal, Step};
 pub use retry::RetryBudget;
 pub use targets::{TargetHealth, TargetTable};
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
-use fleet::{LayoutVersion, ModelRef, PromptPart, RouteEntry, TargetLoad};
+use fleet::{LayoutVersion, ModelRef, PermitRequest, PromptPart, RouteEntry, TargetLoad};
+use limit::{PermitDenial, PermitUse};
 
 use crate::record::PromptChain;
 
@@ -90,6 +91,8 @@
     pub repeatable: bool,
     /// When to abandon this target if nothing has arrived, because another one can still serve.
     pub reroute_at: Option<Time>,
+    /// End of the permit that the request needs if its target is limited.
+    pub send_by: Option<Time>,
     /// Basis of the choice, for the log.
     pub note: ChoiceNote,
 }
@@ -102,6 +105,9 @@
     /// Ask the leader to load an adapter on a target, then call
     /// [`crate::RequestDispatcher::finish_fetch`].
     Fetch(TargetName, ModelRef),
+    /// Ask the leader for a permit to send a request to a limited target, then call
+    /// [`crate::RequestDispatcher::finish_permit`].
+    Permit(Box<PermitRequest>),
     /// Ask again when something has changed, and at this time at the latest.
     Wait(Time),
     /// Give the caller this final answer.
@@ -119,6 +125,17 @@
     Failed,
 }
 
+/// The result of a request for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitEnd {
+    /// The request may be sent.
+    Issued,
+    /// No permit is available.
+    Denied(PermitDenial),
+    /// The leader was not reached.
+    Failed,
+}
+
 /// How an attempt on a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -165,6 +182,7 @@
 pub(crate) enum RequestStage {
     Waiting,
     Fetching(TargetName, ModelRef),
+    AwaitingPermit(TargetName, PermitUse),
     Running(TargetName),
 }
 
@@ -192,6 +210,10 @@
     /// Number of sends, including those to the same target.
     pub(crate) sends: u32,
     pub(crate) fetches: u32,
+    /// Limited target that the request may be sent to, and the end of that permit.
+    pub(crate) permit: Option<(TargetName, Time)>,
+    /// Number of permits that were asked for.
+    pub(crate) permit_asks: u32,
     /// Targets for which a fetch of the adapter failed, with the time until which they are skipped.
     pub(crate) failed_fetches: Vec<(TargetName, Time)>,
     /// Set when a target may have run the request. From then on it can't be refused as not run.
@@ -211,6 +233,12 @@
         self.has_attempts()
     }
 
+    /// Returns the end of the request's permit for a target, if it has one that is valid.
+    pub(crate) fn permit_end(&self, now: Time, target: &TargetName) -> Option<Time> {
+        let (permitted, end) = self.permit.as_ref()?;
+        (permitted == target && now < *end).then_some(*end)
+    }
+
     /// Returns whether another target may still be tried.
     pub(crate) fn has_attempts(&self) -> bool {
         // A route that allows no attempt could serve nothing, so at least one is made.
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -7,7 +7,7 @@
 use limit::{LimitNotice, LimitTable, RequestRate};
 
 use crate::record::PartRecord;
-use crate::request::AttemptEnd;
+use crate::request::{AttemptEnd, OpenRequest};
 
 /// First and longest backoff before a target that failed is tried again.
 const FAILURE_BACKOFF: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(4));
@@ -34,9 +34,31 @@
 /// Interval of probes. A target that asked for a pause gets one request per interval until it has
 /// begun to answer one.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest retry hint for a request whose targets are limited.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(50);
 /// Time by which a run may exceed twice its estimate before its target counts as silent.
 const SILENCE_SLACK: Duration = Duration::from_millis(250);
 
+/// How a request may use a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TargetAccess {
+    /// The target has no limit.
+    Unlimited,
+    /// The request has a permit for it.
+    Permitted,
+    /// A permit should be asked for, to learn whether the limit still holds. The value is the number
+    /// of daemons.
+    Probe(u32),
+    /// A permit may be asked for.
+    Limited,
+}
+
+impl TargetAccess {
+    pub(crate) fn needs_permit(self) -> bool {
+        matches!(self, TargetAccess::Probe(_) | TargetAccess::Limited)
+    }
+}
+
 /// A request of this daemon that runs on a target.
 #[derive(Clone, Copy, Debug)]
 struct OwnRun {
@@ -248,6 +270,11 @@
 }
 
 impl TargetTable {
+    /// Creates an empty table. The seed differs between daemons.
+    pub fn new(seed: u64) -> TargetTable {
+        TargetTable { limits: LimitTable::new(seed), ..TargetTable::default() }
+    }
+
     /// Applies a target's entry. Returns whether it changes where requests can go.
     ///
     /// An entry of an earlier start of the same target, or an older entry of the same start, is
@@ -379,16 +406,20 @@
         recent.map(departure).collect()
     }
 
-    /// Records what an answer says about its target's limit. Returns whether that changes the limit.
-    pub fn record_limit(&mut self, now: Time, name: &TargetName, notice: LimitNotice) -> bool {
+    /// Records what the answer to a request that was sent at `sent_at` says about its target's
+    /// limit; see [`LimitTable::record_notice`]. Returns whether the leader should learn of it.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        sent_at: Time,
+        notice: LimitNotice,
+        is_complete: bool,
+    ) -> bool {
         let Some(born_ms) = self.targets.get(name).map(|state| state.entry.born_ms) else {
             return false;
         };
-        match notice {
-            LimitNotice::Named(rate) => self.limits.record_rate(now, name, born_ms, rate),
-            LimitNotice::Absent => self.limits.record_absence(name, born_ms),
-            LimitNotice::Malformed => false,
-        }
+        self.limits.record_notice(now, (name, born_ms), sent_at, notice, is_complete)
     }
 
     /// Returns the limit that a target has named, if it has one.
@@ -396,9 +427,31 @@
         self.limits.rate(name, self.targets.get(name)?.entry.born_ms)
     }
 
-    /// Returns the number of targets with a limit.
-    pub fn limited_count(&self) -> usize {
-        self.limits.len()
+    /// Returns the limits of all targets.
+    pub fn limits(&self) -> &LimitTable {
+        &self.limits
+    }
+
+    pub(crate) fn limits_mut(&mut self) -> &mut LimitTable {
+        &mut self.limits
+    }
+
+    /// Returns whether a request may use a target in the given way.
+    pub(crate) fn allows(
+        &self,
+        now: Time,
+        state: &TargetState,
+        request: &OpenRequest,
+        access: TargetAccess,
+    ) -> bool {
+        let name = &state.entry.name;
+        let is_limited = self.limits.rate(name, state.entry.born_ms).is_some();
+        match access {
+            TargetAccess::Unlimited => !is_limited,
+            TargetAccess::Permitted => is_limited && request.permit_end(now, name).is_some(),
+            TargetAccess::Probe(daemons) => is_limited && self.limits.may_probe(now, name, daemons),
+            TargetAccess::Limited => is_limited && self.limits.may_ask(now, name),
+        }
     }
 
     /// Sends nothing to a target until the given time, because it asked for a pause.
@@ -440,9 +493,9 @@
         }
     }
 
-    /// Returns when the first of a service's paused targets takes requests again, if one of them
-    /// could serve the model.
-    pub(crate) fn pause_end(
+    /// Returns when the first of a service's paused or limited targets takes requests again, if one
+    /// of them could serve the model.
+    pub(crate) fn return_time(
         &self,
         now: Time,
         service: &Name,
@@ -452,16 +505,24 @@
             let base = |s: &ModelRef| ModelRef { model: s.model.clone(), adapter: None };
             state.entry.service == *service && subject.is_none_or(|s| state.holds(now, &base(s)))
         };
-        self.targets.values().filter(fits).filter_map(|state| state.pause_end(now)).min()
+        let limit_end = |state: &TargetState| {
+            let name = &state.entry.name;
+            let is_limited = self.limits.rate(name, state.entry.born_ms).is_some();
+            let wait = self.limits.return_wait(now, name).max(MIN_LIMIT_WAIT);
+            (is_limited && state.is_ready(now)).then(|| now + wait)
+        };
+        let ends = self.targets.values().filter(fits);
+        ends.filter_map(|state| state.pause_end(now).or_else(|| limit_end(state))).min()
     }
 
     /// Returns whether a request may still be sent to its target, after time has passed since the
-    /// target was chosen.
-    pub fn may_send(&self, now: Time, name: &TargetName) -> bool {
+    /// target was chosen. `send_by` is the end of the request's permit, if it has one.
+    pub fn may_send(&self, now: Time, name: &TargetName, send_by: Option<Time>) -> bool {
         self.targets.get(name).is_some_and(|state| {
             state.entry.phase == TargetPhase::Ready
                 && state.lapsed_until.is_none_or(|until| now < until)
                 && now >= state.paused_until
+                && (send_by.is_some_and(|end| now < end) || self.limit(name).is_none())
         })
     }
 
--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -9,9 +9,12 @@
 use base::{ModelName, Revision, SortedMap, TargetName, TeamName, Time};
 use fleet::{
     EngineModel, EngineOrder, EngineReport, EngineSpec, FleetLayout, ModelRef, OrderReply,
-    StoreChange, SyncReply, SyncReport, TargetDeparture, TargetEntry, TargetPhase,
+    PermitReply, PermitRequest, StoreChange, SyncReply, SyncReport, TargetDeparture, TargetEntry,
+    TargetPhase,
 };
 
+use limit::{LimitStatement, LimitTable, PermitDenial, PermitTable, PermitUse, RequestRate};
+
 use crate::config::{LeaderConfig, LeaderTerm};
 use crate::demand::DemandTable;
 use crate::pool::{SeatRoster, SeatTable, TokenPool};
@@ -26,6 +29,9 @@
 /// that, the replicas found at the start of the term count as well.
 const MIN_ARRIVALS: u64 = 40;
 
+/// When a daemon should ask again for a permit that can't be issued at this point of the term.
+const TERM_PAUSE: Duration = Duration::from_millis(250);
+
 /// A call that the daemon makes for the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaderAction {
@@ -95,6 +101,8 @@
     Ended(LoadResult),
     /// Some models without a replica have no load.
     Backlog(LoadBacklog),
+    /// A target has named a limit, changed it or, if there is no rate, ended it.
+    Limited(TargetName, Option<RequestRate>),
 }
 
 /// State of a requested adapter on a target.
@@ -128,6 +136,8 @@
     pools: SortedMap<TeamName, TokenPool>,
     changes: ChangeLog,
     updates: UpdateLog,
+    limits: LimitTable,
+    permits: PermitTable,
     /// When a target last appeared in the list for the first time.
     target_added_at: Time,
     /// Models without a replica, in the order in which they are to be loaded.
@@ -159,6 +169,8 @@
             pools: SortedMap::default(),
             changes: ChangeLog::default(),
             updates: UpdateLog::default(),
+            limits: LimitTable::default(),
+            permits: PermitTable::default(),
             last_plan_at: None,
             last_backlog_at: None,
             events: Vec::new(),
@@ -221,6 +233,7 @@
         let missing: Vec<TargetName> =
             self.targets.iter().map(|(name, _)| name.clone()).filter(is_missing).collect();
         for name in missing {
+            self.updates.remove_limit(&name);
             if let Some(record) = self.targets.remove(&name) {
                 let address = record.entry.address;
                 if self.targets_by_address.get(&address) == Some(&name) {
@@ -241,6 +254,10 @@
                 Some(record) => {
                     self.targets_by_address.insert(entry.address, entry.name.clone());
                     record.update_entry(now, entry.clone());
+                    record.is_limited = self.limits.rate(&entry.name, entry.born_ms).is_some();
+                    if !record.is_limited {
+                        self.permits.set_limit(now, &entry.name, None);
+                    }
                 }
                 None => {
                     if self.demand.arrivals() < MIN_ARRIVALS {
@@ -250,7 +267,8 @@
                     }
                     self.target_added_at = now;
                     self.targets_by_address.insert(entry.address, entry.name.clone());
-                    let record = TargetRecord::new(now, entry.clone());
+                    let mut record = TargetRecord::new(now, entry.clone());
+                    record.is_limited = self.limits.rate(&entry.name, entry.born_ms).is_some();
                     self.targets.insert(entry.name.clone(), record);
                 }
             }
@@ -273,6 +291,32 @@
         }
     }
 
+    /// Applies what a target has said about its limit, and relays it to the daemons.
+    fn apply_limit(&mut self, now: Time, statement: &LimitStatement) {
+        let LimitStatement { target, born_ms, .. } = statement;
+        if !self.limits.apply_statement(now, statement) {
+            return;
+        }
+        let rate = self.limits.rate(target, *born_ms);
+        self.permits.set_limit(now, target, rate);
+        if let Some(record) = self.targets.get_mut(target) {
+            record.is_limited = self.limits.rate(target, record.entry.born_ms).is_some();
+        }
+        self.updates.push(now, TargetUpdate::Limit(target.clone()));
+        self.events.push(LeaderEvent::Limited(target.clone(), rate));
+    }
+
+    /// Answers a daemon that needs a permit to send a request to a limited target.
+    pub fn request_permit(&mut self, now: Time, request: &PermitRequest) -> PermitReply {
+        self.apply_limit(now, &request.statement);
+        let result = match self.may_order(now) {
+            true => self.permits.take(now, &request.statement.target, request.purpose),
+            // Permits of the former leader may still be in use, or this term may be over.
+            false => Err(PermitDenial { next: TERM_PAUSE, hint: TERM_PAUSE }),
+        };
+        PermitReply::new(self.term.fence, result)
+    }
+
     fn engine_spec(&self, entry: &TargetEntry) -> Option<&EngineSpec> {
         self.layout.as_ref()?.service(&entry.service)?.engine.as_ref()
     }
@@ -323,12 +367,15 @@
             }
         }
         report.leaving.iter().for_each(|departure| self.mark_leaving(now, departure));
+        report.limits.iter().for_each(|statement| self.apply_limit(now, statement));
         let (mut held, mut retiring, mut leaving) = (Vec::new(), Vec::new(), Vec::new());
+        let mut limits = Vec::new();
         for update in self.updates.take_unseen(now, report) {
             match update {
                 TargetUpdate::Held(target, model) => held.push((target, model)),
                 TargetUpdate::Retiring(target, model) => retiring.push((target, model)),
                 TargetUpdate::Leaving(departure) => leaving.push(departure),
+                TargetUpdate::Limit(target) => limits.extend(self.limits.statement(now, &target)),
             }
         }
         SyncReply {
@@ -341,6 +388,7 @@
             held,
             retiring,
             leaving,
+            limits,
             changes: self.changes.since(now, report.known),
         }
     }
@@ -356,13 +404,25 @@
             .map(|record| self.engine_spec(&record.entry).map_or(0, |spec| spec.max_adapters))
             .collect();
         for ((name, record), places) in self.targets.iter_mut().zip(places) {
-            if record.take_poll(now) {
-                actions.push(LeaderAction::Report(name.clone()));
+            if record.poll_at().is_some_and(|at| now >= at) {
+                let next = self.permits.time_to_next(now, name, PermitUse::Report);
+                if !next.is_zero() {
+                    record.delay_poll(now + next);
+                } else if record.take_poll(now) {
+                    self.permits.take(now, name, PermitUse::Report).ok();
+                    actions.push(LeaderAction::Report(name.clone()));
+                }
             }
             if !may_order {
                 continue;
             }
+            let next = self.permits.time_to_next(now, name, PermitUse::Order);
+            if !next.is_zero() {
+                record.set_backoff(now + next);
+                continue;
+            }
             if let Some((kind, subject, expected)) = record.take_order(now, places) {
+                self.permits.take(now, name, PermitUse::Order).ok();
                 actions.push(LeaderAction::Order(EngineOrder {
                     target: name.clone(),
                     kind,
@@ -386,8 +446,7 @@
         let has_waiting = self.demand.iter().any(|(_, stats)| stats.waiting(now).0 > 0);
         let next_check = has_waiting.then_some(now + Duration::from_millis(100));
         let next_poll = self.targets.values().filter_map(TargetRecord::poll_at).min();
-        let next_unload =
-            self.targets.values().filter_map(|record| record.retiring.as_ref().map(|r| r.1)).min();
+        let next_unload = self.targets.values().filter_map(TargetRecord::unload_at).min();
         let term_start = (now < self.term.orders_from).then_some(self.term.orders_from);
         [next_check, next_poll, next_unload, term_start].into_iter().flatten().min()
     }
--- a/crates/lead/src/target.rs
+++ b/crates/lead/src/target.rs
@@ -88,6 +88,8 @@
     polled_at: Time,
     /// The target asked this host to send nothing until then.
     backoff_until: Time,
+    /// Whether the target limits the requests of all daemons together.
+    pub(crate) is_limited: bool,
 }
 
 impl TargetRecord {
@@ -113,6 +115,7 @@
             is_suspected: false,
             polled_at: now,
             backoff_until: now,
+            is_limited: false,
         }
     }
 
@@ -140,6 +143,7 @@
     pub(crate) fn is_idle(&self, now: Time) -> bool {
         self.is_ready()
             && now >= self.backoff_until
+            && !self.is_limited
             && self.sequence.is_some()
             && self.pending.is_none()
             && self.running.is_none()
@@ -212,6 +216,16 @@
         true
     }
 
+    /// Delays the next poll.
+    pub(crate) fn delay_poll(&mut self, until: Time) {
+        self.next_poll_at = self.next_poll_at.max(until);
+    }
+
+    /// Returns when the order that unloads a model can be sent, if one is planned.
+    pub(crate) fn unload_at(&self) -> Option<Time> {
+        self.retiring.as_ref().map(|(_, at)| (*at).max(self.backoff_until))
+    }
+
     /// Returns the time of the next poll, if one is needed.
     pub(crate) fn poll_at(&self) -> Option<Time> {
         let due_at = self.next_poll_at.max(self.backoff_until);
--- a/crates/lead/src/updates.rs
+++ b/crates/lead/src/updates.rs
@@ -20,6 +20,16 @@
     Retiring(TargetName, ModelName),
     /// A target has announced that it leaves.
     Leaving(TargetDeparture),
+    /// A target has named a limit, changed it or ended it.
+    Limit(TargetName),
+}
+
+/// What an update is about, in addition to its target.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum UpdateTopic<'a> {
+    Replica(&'a ModelName),
+    Departure,
+    Limit,
 }
 
 impl TargetUpdate {
@@ -27,17 +37,19 @@
         match self {
             TargetUpdate::Held(..) | TargetUpdate::Retiring(..) => REPLICA_TTL,
             TargetUpdate::Leaving(_) => DEPARTURE_TTL,
+            // A limit holds until its target ends it.
+            TargetUpdate::Limit(_) => Duration::MAX,
         }
     }
 
-    /// Returns the target and model concerned. A newer update of the same subject replaces this
-    /// one.
-    fn subject(&self) -> (&TargetName, Option<&ModelName>) {
+    /// Returns what the update is about. A newer update of the same subject replaces this one.
+    fn subject(&self) -> (&TargetName, UpdateTopic<'_>) {
         match self {
             TargetUpdate::Held(target, model) | TargetUpdate::Retiring(target, model) => {
-                (target, Some(model))
+                (target, UpdateTopic::Replica(model))
             }
-            TargetUpdate::Leaving(departure) => (&departure.target, None),
+            TargetUpdate::Leaving(departure) => (&departure.target, UpdateTopic::Departure),
+            TargetUpdate::Limit(target) => (target, UpdateTopic::Limit),
         }
     }
 }
@@ -71,7 +83,10 @@
 impl UpdateLog {
     /// Adds an update that takes effect now. A departure that is in the log already isn't repeated.
     pub(crate) fn push(&mut self, now: Time, update: TargetUpdate) {
-        if self.items.iter().any(|item| item.update == update && item.update.subject().1.is_none())
+        if self
+            .items
+            .iter()
+            .any(|item| item.update == update && update.subject().1 == UpdateTopic::Departure)
         {
             return;
         }
@@ -80,6 +95,11 @@
         self.items.push_back(UpdateItem { number: self.last, update, at: now });
     }
 
+    /// Drops the limit of a target that is no longer listed.
+    pub(crate) fn remove_limit(&mut self, target: &TargetName) {
+        self.items.retain(|item| item.update.subject() != (target, UpdateTopic::Limit));
+    }
+
     /// Returns the updates that a daemon has not acknowledged, and marks them as sent in the reply
     /// to `report`.
     pub(crate) fn take_unseen(&mut self, now: Time, report: &SyncReport) -> Vec<TargetUpdate> {
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -125,6 +125,7 @@
         runs: Vec::new(),
         suspects: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
         draws: Vec::new(),
     }
 }
--- a/crates/limit/src/rate.rs
+++ b/crates/limit/src/rate.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::str::FromStr;
-use std::time::Duration;
 
 use base::ParseError;
 use serde::{Deserialize, Serialize};
@@ -34,11 +33,6 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
-
-    /// Returns the time between two requests, at most `longest`.
-    pub fn interval(self, longest: Duration) -> Duration {
-        Duration::try_from_secs_f64(1.0 / self.0).map_or(longest, |interval| interval.min(longest))
-    }
 }
 
 impl fmt::Display for RequestRate {
--- a/crates/mangodeal/tests/target_limit.rs
+++ b/crates/mangodeal/tests/target_limit.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::run;
+use common::{eventually, run};
 use platform_fleet::{request, PlatformFleet};
 
 /// Time after which the platform counts a limit as known to the daemons that have heard it.
@@ -94,3 +94,75 @@
         }
     });
 }
+
+/// Guards against requests being refused, or the limit exceeded, while another server of the service
+/// has no limit, and against a server that is never used again after its limit has ended.
+#[test]
+fn other_server() {
+    run(async {
+        let fleet = PlatformFleet::start(3).await;
+        let fronts: Vec<SocketAddr> = fleet.fronts.iter().map(|front| front.caller).collect();
+        fleet.server("orders-1").set_limit(Some("0.5"));
+        let started = Instant::now();
+        let span = STABLE + WINDOW * 2;
+        let answers = send_steadily(&fronts, "/safe/1", Duration::from_millis(25), span).await;
+        assert!(answers.iter().all(|answer| answer.status == 200));
+        let busiest = busiest_window(&fleet, "orders-1", started + STABLE);
+        assert!((1..=2 + 1).contains(&busiest), "{busiest} requests in 4 s at 0.5 a second");
+        fleet.server("orders-1").set_limit(None);
+        let ended = Instant::now();
+        send_steadily(&fronts, "/safe/1", Duration::from_millis(25), Duration::from_secs(6)).await;
+        let since = ended + Duration::from_secs(4);
+        let arrivals = fleet.server("orders-1").arrivals();
+        let later = arrivals.iter().filter(|arrival| arrival.at >= since).count();
+        assert!(later >= 10, "{later} requests in 2 s after the limit has ended");
+    });
+}
+
+/// Guards against a restarted daemon that learns of a limit only from its own answers.
+#[test]
+fn restarted_daemon() {
+    run(async {
+        let mut fleet = PlatformFleet::start(3).await;
+        fleet.server("orders-1").set_limit(Some("1"));
+        let fronts = [fleet.fronts[0].caller];
+        send_steadily(&fronts, "/safe/1", Duration::from_millis(20), Duration::from_secs(1)).await;
+        let is_relayed = |line: &serde_json::Value| {
+            line["event"] == "target_limit" && line["request"] == "leader"
+        };
+        eventually(Duration::from_secs(3), "the other daemons know the limit", || async {
+            fleet.fronts[1..].iter().all(|front| front.log().iter().any(is_relayed))
+        })
+        .await;
+        let lines = fleet.fronts[2].log().len();
+        fleet.fronts[2].kill();
+        fleet.fronts[2].spawn();
+        fleet.wait_ready(2).await;
+        eventually(Duration::from_secs(3), "the restarted daemon knows the limit", || async {
+            fleet.fronts[2].log()[lines..].iter().any(is_relayed)
+        })
+        .await;
+    });
+}
+
+/// Guards against a limit that replaces a backoff or a departure which the same answer announces.
+#[test]
+fn combined_notices() {
+    run(async {
+        let fleet = PlatformFleet::start(1).await;
+        let front = fleet.fronts[0].caller;
+        let [leaving, pausing] = ["orders-1", "orders-2"].map(|id| fleet.server(id));
+        leaving.set_limit(Some("100"));
+        leaving.set_leaving();
+        pausing.set_limit(Some("100"));
+        pausing.set_retry_after(Duration::from_secs(1));
+        for number in 0..20 {
+            request(front, "/safe/1", &format!("first-{number}"), 1_000).send().await.unwrap();
+        }
+        assert_eq!((leaving.arrivals().len(), pausing.arrivals().len()), (1, 1));
+        let interval = Duration::from_millis(20);
+        send_steadily(&[front], "/safe/1", interval, Duration::from_secs(2)).await;
+        assert_eq!(leaving.arrivals().len(), 1);
+        assert!(pausing.arrivals().len() > 1, "the server is not used again");
+    });
+}
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -15,6 +15,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, Response};
+use limit::RequestRate;
 use platform::request::read_head;
 
 use crate::answer::{
@@ -307,6 +308,21 @@
                     .info();
                 continue;
             }
+            Step::Permit(request) => {
+                let asked_at = boot_time();
+                let (end, fence) = peer::ask_permit(&host, &request).await;
+                host.dispatcher.borrow_mut().finish_permit(boot_time(), asked_at, id, end);
+                let statement = &request.statement;
+                guard
+                    .log_line("permit")
+                    .text("target", &statement.target)
+                    .with("per_second", statement.rate.map(RequestRate::per_second))
+                    .with("purpose", format!("{:?}", request.purpose))
+                    .with("end", format!("{end:?}"))
+                    .with("fence", fence)
+                    .info();
+                continue;
+            }
             Step::Wait(until) => {
                 let wait_end = host.stopping_since.get().map(|at| at + MAX_WAIT_AFTER_STOP);
                 if wait_end.is_some_and(|wait_end| boot_time() >= wait_end) {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -6,7 +6,7 @@
 use base::{TargetName, Time};
 use bytes::Bytes;
 use daemon::boot_time;
-use front::{AttemptEnd, Dispatch};
+use front::{AttemptEnd, Dispatch, RequestDispatcher};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -105,7 +105,7 @@
     // The target may have left or asked for a pause while the connection was opened or the process
     // was held up.
     let may_send = host.is_list_fresh(now)
-        && host.dispatcher.borrow().targets().may_send(now, &dispatch.target);
+        && host.dispatcher.borrow().targets().may_send(now, &dispatch.target, dispatch.send_by);
     if now >= deadline || now.since(decided_at) > MAX_DECISION_AGE || !may_send {
         return AttemptOutcome::End(AttemptEnd::Withheld);
     }
@@ -127,7 +127,7 @@
             Err(ConnError::NotSent) => return AttemptOutcome::End(AttemptEnd::NotSent),
             Err(ConnError::Lost) => return AttemptOutcome::End(AttemptEnd::Lost),
         };
-        read_response(host, id, dispatch, request, response, conn).await
+        read_response(host, (id, now), dispatch, request, response, conn).await
     };
     let mut answer = std::pin::pin!(answer);
     let mut limit = reroute_at.min(deadline);
@@ -165,7 +165,7 @@
 /// Reads the answer of a target up to its end, or up to the first event of a stream.
 async fn read_response(
     host: &Host,
-    id: u64,
+    (id, sent_at): (u64, Time),
     dispatch: &Dispatch,
     request: &ForwardRequest,
     response: Response<Incoming>,
@@ -177,8 +177,12 @@
     // address, so it says nothing about the target.
     if head.instance.is_some() || response.status() != StatusCode::MISDIRECTED_REQUEST {
         apply_target_notice(host, sender, head.notice);
+        // A late answer to another request, or one that the target did not complete, may lack the
+        // limit although it holds.
+        let is_complete = head.is_sealed && head.matches_attempt;
         let attempt = request.attempt_id.as_ref().and_then(|value| value.to_str().ok());
-        record_limit(host, sender, head.notice.limit, attempt.unwrap_or_default());
+        let notice = (head.notice.limit, is_complete);
+        record_limit(host, sender, sent_at, notice, attempt.unwrap_or_default());
     }
     if let Some(end) = classify_answer(&head, response.status(), dispatch) {
         if end.is_not_run() && end != AttemptEnd::Replaced {
@@ -237,20 +241,34 @@
     }
 }
 
-/// Records what an answer says about its target's limit, and logs a change. `answer` identifies the
-/// answer in the log: the attempt, or the kind of call.
-pub(crate) fn record_limit(host: &Host, target: &TargetName, notice: LimitNotice, answer: &str) {
+/// Records what the answer to a request that was sent at `sent_at` says about its target's limit.
+/// `answer` identifies the answer in the log: the attempt, or the kind of call.
+pub(crate) fn record_limit(
+    host: &Host,
+    target: &TargetName,
+    sent_at: Time,
+    (notice, is_complete): (LimitNotice, bool),
+    answer: &str,
+) {
     let mut dispatcher = host.dispatcher.borrow_mut();
-    if dispatcher.targets_mut().record_limit(boot_time(), target, notice) {
-        let rate = dispatcher.targets().limit(target).map(RequestRate::per_second);
-        LogLine::new("target_limit")
-            .text("target", target)
-            .with("per_second", rate)
-            .with("request", answer)
-            .info();
+    let known = dispatcher.targets().limit(target);
+    dispatcher.record_limit(boot_time(), target, sent_at, notice, is_complete);
+    if dispatcher.targets().limit(target) != known {
+        log_limit(&dispatcher, target, answer);
+        host.report_due.notify_one();
     }
 }
 
+/// Logs a target's limit after a change.
+pub(crate) fn log_limit(dispatcher: &RequestDispatcher, target: &TargetName, source: &str) {
+    let rate = dispatcher.targets().limit(target).map(RequestRate::per_second);
+    LogLine::new("target_limit")
+        .text("target", target)
+        .with("per_second", rate)
+        .with("request", source)
+        .info();
+}
+
 /// Returns how the attempt ended if the answer is not a valid answer to the request.
 fn classify_answer(
     head: &AnswerHead,
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -137,7 +137,7 @@
             sends: counts.sends,
             repeats: counts.repeats,
             limited_sends: counts.limited_sends,
-            limited_targets: dispatcher.targets().limited_count(),
+            limited_targets: dispatcher.targets().limits().targets().count(),
             open_requests: dispatcher.open_count(),
             store_calls: self.store.call_count(),
             lines_dropped: self.dropped_lines.total(),
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -7,6 +7,7 @@
 use daemon::boot_time;
 use fleet::{EngineOrder, OrderReply, TargetEntry};
 use lead::{Leader, LeaderAction, LeaderEvent};
+use limit::RequestRate;
 use platform::engine::{instance_header, order_call, order_reply, report_call, report_reply};
 use platform::request::read_notice;
 
@@ -77,6 +78,10 @@
             .with("held", load.is_held)
             .with("took_ms", u64::try_from(load.took.as_millis()).unwrap_or(u64::MAX))
             .info(),
+        LeaderEvent::Limited(target, rate) => LogLine::new("limit_relayed")
+            .text("target", &target)
+            .with("per_second", rate.map(RequestRate::per_second))
+            .info(),
         LeaderEvent::Backlog(backlog) => LogLine::new("load_backlog")
             .with("models", backlog.models)
             .with("waiting", backlog.waiting)
@@ -143,7 +148,8 @@
     let answer = tokio::time::timeout(ENGINE_TIMEOUT, exchange).await.ok()??;
     let notice = read_notice(answer.status(), answer.headers());
     apply_target_notice(host, target, notice);
-    record_limit(host, target, notice.limit, "report");
+    // Only answers to requests end a limit.
+    record_limit(host, target, boot_time(), (notice.limit, false), "report");
     match report_reply(answer.status().as_u16(), answer.body()) {
         Ok(report) => Some(report),
         Err(error) => {
@@ -177,7 +183,7 @@
         Ok(Ok(answer)) => {
             let notice = read_notice(answer.status(), answer.headers());
             apply_target_notice(host, &order.target, notice);
-            record_limit(host, &order.target, notice.limit, "order");
+            record_limit(host, &order.target, boot_time(), (notice.limit, false), "order");
             order_reply(answer.status().as_u16())
         }
         Ok(Err(ConnError::NotSent)) => OrderReply::NotSent,
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -8,8 +8,11 @@
 use base::{TargetName, Time};
 use bytes::Bytes;
 use daemon::boot_time;
-use fleet::{AdapterReply, AdapterRequest, ChangeBatch, ModelRef, SyncReply, SyncReport};
-use front::FetchEnd;
+use fleet::{
+    AdapterReply, AdapterRequest, ChangeBatch, ModelRef, PermitReply, PermitRequest, SyncReply,
+    SyncReport,
+};
+use front::{FetchEnd, PermitEnd};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,7 +23,7 @@
 
 use crate::answer::{full_body, ReplyBody};
 use crate::conn::PooledConn;
-use crate::exchange::MAX_IDLE_TIME;
+use crate::exchange::{log_limit, MAX_IDLE_TIME};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 
@@ -30,6 +33,8 @@
 const SYNC_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long a request waits for an adapter.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time limit of a request for a permit, which is valid for little longer.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which the state of an adapter is polled. A finished order usually wakes the waiting
 /// requests earlier.
 const ADAPTER_POLL_INTERVAL: Duration = Duration::from_millis(15);
@@ -38,6 +43,7 @@
 
 const SYNC_PATH: &str = "/sync";
 const ADAPTER_PATH: &str = "/adapter";
+const PERMIT_PATH: &str = "/permit";
 
 /// Sends a report to the leader whenever one is due.
 pub(crate) async fn run_sync_loop(host: Rc<Host>) {
@@ -66,7 +72,11 @@
             LogLine::new(event).with("leader", leader.unwrap_or_default()).info();
         }
         if let Some(reply) = reply {
-            host.dispatcher.borrow_mut().apply_reply(now, asked_at, &reply);
+            let mut dispatcher = host.dispatcher.borrow_mut();
+            for target in dispatcher.apply_reply(now, asked_at, &reply) {
+                log_limit(&dispatcher, &target, "leader");
+            }
+            drop(dispatcher);
             host.state_changed.notify_waiters();
         }
     }
@@ -133,6 +143,32 @@
     }
 }
 
+/// Asks the leader for a permit to send a request to a limited target. Also returns the fencing
+/// token of the leader that answered.
+pub(crate) async fn ask_permit(host: &Host, request: &PermitRequest) -> (PermitEnd, Option<u64>) {
+    let reply = if host.leader_state.borrow().is_some() {
+        issue_permit(host, request)
+    } else {
+        let address = host.leader_entry.borrow().as_ref().map(|entry| entry.address);
+        match address {
+            Some(address) => call_peer(host, address, PERMIT_PATH, request, PERMIT_TIMEOUT).await,
+            None => None,
+        }
+    };
+    let end = match reply.map(|reply| reply.result()) {
+        Some(Ok(())) => PermitEnd::Issued,
+        Some(Err(denial)) => PermitEnd::Denied(denial),
+        None => PermitEnd::Failed,
+    };
+    (end, reply.map(|reply| reply.fence))
+}
+
+/// Answers a request for a permit, or returns `None` if this daemon doesn't lead.
+fn issue_permit(host: &Host, request: &PermitRequest) -> Option<PermitReply> {
+    let mut state = host.leader_state.borrow_mut();
+    Some(state.as_mut()?.leader.request_permit(boot_time(), request))
+}
+
 /// Orders an adapter as the leader and waits until it is ready.
 async fn load_adapter(host: &Host, target: &TargetName, subject: &ModelRef) -> FetchEnd {
     let deadline = boot_time() + ADAPTER_TIMEOUT;
@@ -201,6 +237,7 @@
     let body = reading.map(|body| body.to_bytes()).unwrap_or_default();
     let answer = match path.as_str() {
         SYNC_PATH => from_json(&body).and_then(|report| to_json(&apply_report(&host, &report)?)),
+        PERMIT_PATH => from_json(&body).and_then(|ask| to_json(&issue_permit(&host, &ask)?)),
         ADAPTER_PATH => match from_json::<AdapterRequest>(&body) {
             Some(message) if host.leader_state.borrow().is_some() => {
                 let end = load_adapter(&host, &message.target, &message.subject).await;
