Load models elsewhere when a limited target takes too few requests for them

What callers saw: requests for a model whose only target is limited were refused for as long as the limit lasted.

Cause: the planner counted a replica on a limited target like any other.

Change: when a limit has lasted 2 s and is below the requests that the target would get, the replicas of its models in demand no longer count, so that the models are loaded elsewhere too. Nothing is loaded onto a limited target.

--- a/crates/lead/src/leader/plan.rs
+++ b/crates/lead/src/leader/plan.rs
@@ -16,6 +16,10 @@
 const RECENT_USE: Duration = Duration::from_millis(1_000);
 /// Requests per second from which a model counts as in demand.
 const MIN_DEMAND_RATE: f64 = 0.6;
+/// How long a target has been limited before its models are loaded elsewhere.
+const MIN_LIMIT_SPAN: Duration = Duration::from_secs(2);
+/// Requests per second from which a model on a limited target is loaded elsewhere.
+const MIN_COPY_RATE: f64 = 0.05;
 /// Prompt tokens that an engine processes per second.
 const PREFILL_RATE: f64 = 40_000.0;
 /// Largest share of an engine's prompt processing time that one replica should take.
@@ -187,6 +191,7 @@
         for name in services.filter_map(|s| s.engine.as_ref()).flat_map(|spec| spec.models.keys()) {
             counts.entry(name.clone(), ReplicaCount::default);
         }
+        self.discount_limited(now, &mut counts);
         for (model, count) in counts.iter_mut() {
             count.wanted = self.wanted_replicas(now, model, 1.0);
             count.kept = self.wanted_replicas(now, model, KEEP_FACTOR);
@@ -194,6 +199,37 @@
         counts
     }
 
+    /// Leaves out the replicas in demand on targets whose limits are too low for the requests that
+    /// they would get, so that these models are loaded elsewhere too.
+    fn discount_limited(&self, now: Time, counts: &mut SortedMap<ModelName, ReplicaCount>) {
+        for (name, record) in self.targets.iter().filter(|(_, record)| record.is_limited) {
+            let born_ms = record.entry.born_ms;
+            let lasts = |since: Time| now.since(since) >= MIN_LIMIT_SPAN;
+            let rate = self.limits.rate(name, born_ms);
+            let Some(rate) =
+                rate.filter(|_| self.limits.limited_since(name, born_ms).is_some_and(lasts))
+            else {
+                continue;
+            };
+            let served = record.models().iter().filter(|held| record.serves(&held.name));
+            let served: Vec<&ModelName> = served.map(|held| &held.name).collect();
+            let share = |model: &&ModelName| {
+                let serving = counts.get(model).map_or(1, |count| count.serving.max(1));
+                self.demand.rate(now, model) / serving as f64
+            };
+            if served.iter().map(share).sum::<f64>() <= rate.per_second() {
+                continue;
+            }
+            for model in served {
+                let count = counts.get_mut(model);
+                if let Some(count) = count.filter(|_| self.demand.rate(now, model) >= MIN_COPY_RATE)
+                {
+                    count.serving = count.serving.saturating_sub(1);
+                }
+            }
+        }
+    }
+
     /// Returns the least time between two plans, which cost more in a larger fleet.
     fn plan_interval(&self) -> Duration {
         PLAN_INTERVAL * u32::try_from(self.targets.len() / 20).unwrap_or(u32::MAX)
--- a/crates/lead/tests/limited_target.rs
+++ b/crates/lead/tests/limited_target.rs
@@ -1,12 +1,12 @@
-//! Calls while a target limits the requests of all daemons.
+//! Placement and calls while a target limits the requests of all daemons.
 
 mod common;
 
 use std::time::Duration;
 
 use base::{TargetName, Time};
-use common::{at, entry, leader, model, sync_report};
-use fleet::{ModelDemand, TargetPhase};
+use common::{at, entry, leader, model, orders, sync_report};
+use fleet::{EngineOrder, ModelDemand, TargetPhase};
 use limit::{LimitStatement, PermitUse, RequestRate};
 use mango_lead::{Leader, LeaderAction};
 
@@ -31,6 +31,42 @@
     leader.handle_sync(now, &report);
 }
 
+/// Reports demand once a second and returns the orders.
+fn run(leader: &mut Leader, rate: u32, limit: &LimitStatement, seconds: u64) -> Vec<EngineOrder> {
+    let mut sent = Vec::new();
+    for step in 1..seconds * 10 {
+        let now = at(step * 100);
+        if step % 10 == 0 {
+            report(leader, now, "a", rate, limit);
+        }
+        sent.extend(orders(leader, now));
+    }
+    sent
+}
+
+/// Guards against a model in demand that stays only on a target which takes too few requests for
+/// it, and against loads onto such a target.
+#[test]
+fn copy_elsewhere() {
+    let cases = [
+        ("too low a limit", Some(0.2), 1, true),
+        ("a limit above the demand", Some(9.0), 1, false),
+        ("no limit", None, 1, false),
+        ("no demand", Some(0.0), 0, false),
+    ];
+    for (name, limit, rate, expected) in cases {
+        let mut leader = leader(&[("t1", &["a", "b"]), ("t2", &["c", "d"]), ("t3", &["e", "f"])]);
+        let sent = run(&mut leader, rate, &statement("t1", limit), 12);
+        let unloads = sent.iter().filter(|order| order.target.as_str() != "t1");
+        // The targets are full, so that a load begins with an unload.
+        assert_eq!(unloads.count() > 0, expected, "{name}: {sent:?}");
+        assert!(
+            limit.is_none() || sent.iter().all(|order| order.target.as_str() != "t1"),
+            "{name}"
+        );
+    }
+}
+
 /// Guards against reports that a limited target gets in addition to its limit.
 #[test]
 fn limited_reports() {
