--- a/crates/mangodeal/tests/target_limit.rs
+++ b/crates/mangodeal/tests/target_limit.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::{eventually, run};
-use platform_fleet::{request, PlatformFleet};
+use platform_fleet::{model_request, request, PlatformFleet};
 
 /// Time after which the platform counts a limit as known to the daemons that have heard it.
 const STABLE: Duration = Duration::from_secs(3);
@@ -145,6 +145,53 @@
     });
 }
 
+/// Guards against a caller's own header reaching a server or limiting one.
+#[test]
+fn callers_header() {
+    run(async {
+        let fleet = PlatformFleet::start(1).await;
+        let front = fleet.fronts[0].caller;
+        for number in 0..8 {
+            let call = request(front, "/safe/1", &format!("own-{number}"), 1_000);
+            let call = call.header("server-limit", "0").header("server-leaving", "1");
+            assert_eq!(call.send().await.unwrap().status, 200);
+        }
+        let servers = ["orders-1", "orders-2"].map(|id| fleet.server(id));
+        for arrival in servers.iter().flat_map(|server| server.arrivals()) {
+            assert!(!arrival.headers.contains_key("server-limit"));
+            assert!(!arrival.headers.contains_key("server-leaving"));
+        }
+    });
+}
+
+/// Guards against a rare model that is never served because the only server that holds it takes no
+/// requests.
+#[test]
+fn rare_model() {
+    run(async {
+        let fleet = PlatformFleet::start(2).await;
+        let fronts = [0, 1].map(|number: usize| fleet.fronts[number].caller);
+        fleet.server("engine-1").set_limit(Some("0"));
+        let mut number = 0;
+        eventually(Duration::from_secs(20), "the model is served elsewhere", || {
+            number += 1;
+            let call = model_request(fronts[number % 2], &format!("rare-{number}"), "b");
+            async {
+                let status = call.send().await.unwrap().status;
+                assert!(status == 200 || status == 503, "{status}");
+                // Too seldom for a second replica without the limit.
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                fleet
+                    .server("engine-2")
+                    .arrivals()
+                    .iter()
+                    .any(|arrival| arrival.ran && arrival.headers["mangodeal-model"] == "b")
+            }
+        })
+        .await;
+    });
+}
+
 /// Guards against a limit that replaces a backoff or a departure which the same answer announces.
 #[test]
 fn combined_notices() {
