Tie delays of a limited target to its limit, and report a limit only when it changes

Change: the order's delay has its own field, only changed limits are reported, and the update goes with the record.

--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -407,7 +407,7 @@
     }
 
     /// Records what the answer to a request that was sent at `sent_at` says about its target's
-    /// limit; see [`LimitTable::record_notice`]. Returns whether the leader should learn of it.
+    /// limit; see [`LimitTable::record_notice`]. Returns whether it has changed.
     pub fn record_limit(
         &mut self,
         now: Time,
--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -375,7 +375,10 @@
                 TargetUpdate::Held(target, model) => held.push((target, model)),
                 TargetUpdate::Retiring(target, model) => retiring.push((target, model)),
                 TargetUpdate::Leaving(departure) => leaving.push(departure),
-                TargetUpdate::Limit(target) => limits.extend(self.limits.statement(now, &target)),
+                TargetUpdate::Limit(target) => match self.limits.statement(now, &target) {
+                    Some(statement) => limits.push(statement),
+                    None => self.updates.remove_limit(&target),
+                },
             }
         }
         SyncReply {
@@ -418,7 +421,7 @@
             }
             let next = self.permits.time_to_next(now, name, PermitUse::Order);
             if !next.is_zero() {
-                record.set_backoff(now + next);
+                record.delay_order(now + next);
                 continue;
             }
             if let Some((kind, subject, expected)) = record.take_order(now, places) {
--- a/crates/lead/src/target.rs
+++ b/crates/lead/src/target.rs
@@ -88,6 +88,8 @@
     polled_at: Time,
     /// The target asked this host to send nothing until then.
     backoff_until: Time,
+    /// No order is sent before this time, because the target's limit does not permit one.
+    order_from: Time,
     /// Whether the target limits the requests of all daemons together.
     pub(crate) is_limited: bool,
 }
@@ -115,6 +117,7 @@
             is_suspected: false,
             polled_at: now,
             backoff_until: now,
+            order_from: now,
             is_limited: false,
         }
     }
@@ -216,6 +219,11 @@
         true
     }
 
+    /// Delays the next order.
+    pub(crate) fn delay_order(&mut self, until: Time) {
+        self.order_from = until;
+    }
+
     /// Delays the next poll.
     pub(crate) fn delay_poll(&mut self, until: Time) {
         self.next_poll_at = self.next_poll_at.max(until);
@@ -223,7 +231,7 @@
 
     /// Returns when the order that unloads a model can be sent, if one is planned.
     pub(crate) fn unload_at(&self) -> Option<Time> {
-        self.retiring.as_ref().map(|(_, at)| (*at).max(self.backoff_until))
+        self.retiring.as_ref().map(|(_, at)| (*at).max(self.order_from))
     }
 
     /// Returns the time of the next poll, if one is needed.
--- a/crates/limit/src/table.rs
+++ b/crates/limit/src/table.rs
@@ -16,8 +16,6 @@
 const END_MARGIN: Duration = Duration::from_millis(500);
 /// Pause before a daemon asks again for a permit after the leader did not answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(250);
-/// Interval at which the same limit is reported again.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of daemons up to which each of them asks for probes at `PROBE_INTERVAL`. In a larger
 /// fleet each one asks less often.
 const PROBE_DAEMONS: u32 = 8;
@@ -44,7 +42,6 @@
     /// When the target last named the limit, or when the request was sent whose answer ended it.
     stated_at: Time,
     limited_since: Time,
-    reported_at: Time,
     /// No permit is asked for before this time.
     ask_from: Time,
     /// When a refused caller should return.
@@ -62,7 +59,6 @@
             rate: None,
             stated_at: Time::ZERO,
             limited_since: now,
-            reported_at: now,
             ask_from: now,
             return_at: now,
             probed_at: None,
@@ -87,7 +83,7 @@
 
     /// Records what the answer to a request that was sent at `sent_at` says. An absent limit counts
     /// only if `is_complete`, that is if the target would have named its limit in this answer.
-    /// Returns whether the leader should learn of it.
+    /// Returns whether the limit has changed, so that the leader should learn of it.
     pub fn record_notice(
         &mut self,
         now: Time,
@@ -97,15 +93,7 @@
         is_complete: bool,
     ) -> bool {
         match notice {
-            LimitNotice::Named(rate) => {
-                let is_changed = self.apply(now, target, born_ms, Some(rate), now);
-                let Some(record) = self.records.get_mut(target) else { return is_changed };
-                let is_due = is_changed || now.since(record.reported_at) >= REFRESH_INTERVAL;
-                if is_due {
-                    record.reported_at = now;
-                }
-                is_due
-            }
+            LimitNotice::Named(rate) => self.apply(now, target, born_ms, Some(rate), now),
             LimitNotice::Absent => is_complete && self.apply(now, target, born_ms, None, sent_at),
             LimitNotice::Malformed => false,
         }
@@ -138,8 +126,7 @@
         };
         let is_changed = record.rate != rate;
         if record.rate.is_none() {
-            let reported_at = record.reported_at;
-            record = LimitRecord { reported_at, ..LimitRecord::new(now, born_ms) };
+            record = LimitRecord::new(now, born_ms);
         }
         (record.rate, record.stated_at) = (rate, stated_at);
         self.insert(target, record);
