--- a/crates/mangodeal/tests/target_limit.rs
+++ b/crates/mangodeal/tests/target_limit.rs
@@ -213,3 +213,62 @@
         assert!(pausing.arrivals().len() > 1, "the server is not used again");
     });
 }
+
+/// Guards against a limit that is exceeded while the leader is killed, and while other daemons are
+/// suspended, cut off from the store or restarted.
+#[test]
+fn faulty_daemons() {
+    run(async {
+        let mut fleet = PlatformFleet::start(3).await;
+        let fronts: Vec<SocketAddr> = fleet.fronts.iter().map(|front| front.caller).collect();
+        let servers = ["orders-1", "orders-2"];
+        servers.iter().for_each(|id| fleet.server(id).set_limit(Some("2")));
+        let started = Instant::now();
+        let span = Duration::from_secs(20);
+        let senders = fronts.iter().map(|front| {
+            let front = *front;
+            tokio::spawn(async move {
+                for number in 0.. {
+                    if started.elapsed() >= span {
+                        break;
+                    }
+                    let attempt = format!("faulty-{front}-{number}");
+                    // Requests fail while their daemon is down.
+                    let _ = request(front, "/safe/1", &attempt, 1_000).send().await;
+                    tokio::time::sleep(Duration::from_millis(30)).await;
+                }
+            })
+        });
+        let senders: Vec<_> = senders.collect();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let leads = |front: &platform_fleet::FrontProcess| {
+            front.log().iter().any(|line| line["event"] == "leads")
+        };
+        let leader = fleet.fronts.iter().position(leads).unwrap();
+        let others = [(leader + 1) % 3, (leader + 2) % 3];
+        fleet.fronts[leader].kill();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        fleet.fronts[leader].spawn();
+        fleet.fronts[others[0]].suspend();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        fleet.fronts[others[0]].resume();
+        fleet.fronts[others[1]].store.set_disconnected(true);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        fleet.fronts[others[1]].store.set_disconnected(false);
+        fleet.fronts[others[0]].kill();
+        fleet.fronts[others[0]].spawn();
+        for sender in senders {
+            sender.await.unwrap();
+        }
+        for id in servers {
+            let busiest = busiest_window(&fleet, id, started + STABLE);
+            // A daemon that has just started sends until it has heard the limit.
+            let allowed = (2.0 * WINDOW.as_secs_f64() * 1.5) as usize + 5;
+            assert!(busiest <= allowed, "{id} got {busiest} requests in 4 s at 2 a second");
+            let arrivals = fleet.server(id).arrivals();
+            let late = arrivals.iter().filter(|a| a.at >= started + span - WINDOW).count();
+            assert!(late >= 2, "{id} got {late} requests in the last 4 s");
+            println!("{id}: at most {busiest} requests in 4 s");
+        }
+    });
+}
