--- a/crates/limit/src/permit.rs
+++ b/crates/limit/src/permit.rs
@@ -20,7 +20,7 @@
 /// Lowest rate at which permits are issued, per second, also where the limit is lower or zero. Only
 /// the answer to a request shows that a limit has changed.
 const MIN_RATE: f64 = 0.1;
-/// Latest time for which a caller is told to return.
+/// Longest retry hint for a refused caller.
 const HINT_HORIZON: Duration = Duration::from_secs(10);
 
 /// What a permit is for.
--- a/crates/limit/src/table.rs
+++ b/crates/limit/src/table.rs
@@ -20,7 +20,7 @@
 /// fleet each one asks less often.
 const PROBE_DAEMONS: u32 = 8;
 
-/// What a target has said about its limit, as daemons tell each other.
+/// A target's statement of its limit, as daemons exchange it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitStatement {
     /// Target that the limit protects.
