Log a request's parts and how far its answer had arrived when an attempt ended

admitted names the shared parts of the prompt; attempt_ended names the target, whether the answer's head or an event had arrived, and how long before.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -21,7 +21,7 @@
     Arrival, AttemptEnd, FetchEnd, OpenRequest, PermitEnd, Refusal, RequestStage, Step,
 };
 use crate::retry::RetryBudget;
-use crate::targets::TargetTable;
+use crate::targets::{AnswerProgress, TargetTable};
 use crate::DispatcherConfig;
 
 /// Pause between two reports to the leader while requests arrive, and while none do. The leader
@@ -406,6 +406,22 @@
                 .is_some_and(|l| l.can_take(now, daemons))
     }
 
+    /// Records that the head of a target's answer has arrived.
+    pub fn record_answer_head(&mut self, now: Time, id: u64) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if let RequestStage::Running(target) = &request.stage {
+            self.targets.record_head(now, target, id);
+        }
+    }
+
+    /// Returns the target that a request runs on, and how far its answer has arrived.
+    pub fn running_on(&self, id: u64) -> Option<(&TargetName, AnswerProgress)> {
+        match &self.requests.get(&id)?.stage {
+            RequestStage::Running(target) => Some((target, self.targets.progress(target, id))),
+            _ => None,
+        }
+    }
+
     /// Records that a target has begun to answer.
     pub fn record_answer_start(&mut self, now: Time, id: u64, load: Option<TargetLoad>) {
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -45,4 +45,4 @@
 pub use dispatcher::{DispatchCounts, NextAction, RequestDispatcher};
 pub use request::{Arrival, AttemptEnd, ChoiceNote, Dispatch, FetchEnd, PermitEnd, Refusal, Step};
 pub use retry::RetryBudget;
-pub use targets::{TargetHealth, TargetTable};
+pub use targets::{AnswerProgress, TargetHealth, TargetTable};
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -69,6 +69,38 @@
     /// Estimated time to its first event or its answer, including the work queued before it.
     estimate: Duration,
     has_begun: bool,
+    progress: AnswerProgress,
+}
+
+/// How far the answer to a request has arrived, and when the latest step was reached.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// Nothing has arrived.
+    #[default]
+    Pending,
+    /// The head has arrived at this time, but no complete event.
+    Head(Time),
+    /// The first event arrived at this time.
+    Events(Time),
+}
+
+impl AnswerProgress {
+    /// Returns the name of the step in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerProgress::Pending => "pending",
+            AnswerProgress::Head(_) => "head",
+            AnswerProgress::Events(_) => "events",
+        }
+    }
+
+    /// Returns how long ago the step was reached.
+    pub fn age(self, now: Time) -> Option<Duration> {
+        match self {
+            AnswerProgress::Pending => None,
+            AnswerProgress::Head(at) | AnswerProgress::Events(at) => Some(now.since(at)),
+        }
+    }
 }
 
 /// A statement of a target's holdings that doesn't come from its listing.
@@ -617,11 +649,36 @@
         (work, estimate): (Duration, Duration),
     ) {
         if let Some(state) = self.targets.get_mut(name) {
-            state.runs.push(OwnRun { request, since: now, work, estimate, has_begun: false });
+            state.runs.push(OwnRun {
+                request,
+                since: now,
+                work,
+                estimate,
+                has_begun: false,
+                progress: AnswerProgress::Pending,
+            });
             state.probed_at = state.is_half_open.then_some(now);
         }
     }
 
+    /// Records that the head of a request's answer has arrived.
+    pub(crate) fn record_head(&mut self, now: Time, name: &TargetName, request: u64) {
+        let state = self.targets.get_mut(name);
+        let mut runs = state.into_iter().flat_map(|state| state.runs.iter_mut());
+        if let Some(run) = runs.find(|run| run.request == request) {
+            if run.progress == AnswerProgress::Pending {
+                run.progress = AnswerProgress::Head(now);
+            }
+        }
+    }
+
+    /// Returns how far the answer to a request that runs on a target has arrived.
+    pub(crate) fn progress(&self, name: &TargetName, request: u64) -> AnswerProgress {
+        let runs = self.targets.get(name).into_iter().flat_map(|state| &state.runs);
+        let mut runs = runs.filter(|run| run.request == request);
+        runs.next().map_or(AnswerProgress::Pending, |run| run.progress)
+    }
+
     /// Records the first event of a request's answer. Returns how long it took and how long was
     /// expected.
     pub(crate) fn record_first_event(
@@ -633,6 +690,7 @@
         let state = self.targets.get_mut(name)?;
         let run = state.runs.iter_mut().find(|run| run.request == request && !run.has_begun)?;
         run.has_begun = true;
+        run.progress = AnswerProgress::Events(now);
         state.is_half_open = false;
         self.answered_at.insert(state.entry.domain.clone(), now);
         Some((now.since(run.since), run.estimate))
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -9,6 +9,7 @@
 use base::{ResultCode, Time};
 use bytes::Bytes;
 use daemon::boot_time;
+use fleet::PromptPart;
 use front::{Arrival, AttemptEnd, NextAction, Refusal, Step};
 use futures::StreamExt;
 use http_body_util::{BodyExt, Either, Limited, StreamBody};
@@ -41,6 +42,9 @@
 /// once.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Most parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Abandons a request in the dispatcher when its client disconnects, which drops the handler's
 /// future or the answer's body.
 struct RequestGuard {
@@ -65,7 +69,13 @@
 
     /// Records how the current attempt ended and returns what to do next.
     fn end_attempt(&mut self, end: AttemptEnd) -> NextAction {
-        let action = self.host.dispatcher.borrow_mut().finish_attempt(boot_time(), self.id, end);
+        let now = boot_time();
+        let mut dispatcher = self.host.dispatcher.borrow_mut();
+        let running = dispatcher.running_on(self.id);
+        let target = running.map(|(target, _)| target.to_string()).unwrap_or_default();
+        let progress = running.map(|(_, progress)| progress).unwrap_or_default();
+        let action = dispatcher.finish_attempt(now, self.id, end);
+        drop(dispatcher);
         self.host.metrics.count_attempt_end(end_name(end));
         self.is_done = action != NextAction::Retry;
         if end != AttemptEnd::Served {
@@ -74,7 +84,13 @@
                 NextAction::PassOn => "pass_on",
                 NextAction::Final(_) => "final",
             };
-            self.log_line("attempt_ended").with("end", end_name(end)).with("next", next).info();
+            self.log_line("attempt_ended")
+                .with("end", end_name(end))
+                .with("next", next)
+                .with("target", target)
+                .with("answer", progress.name())
+                .with("answer_age_ms", progress.age(now).map(|age| age.as_millis() as u64))
+                .info();
         }
         action
     }
@@ -199,6 +215,7 @@
         is_done: false,
     };
     let route = host.dispatcher.borrow().route_of(id).map(|route| route.name.clone());
+    let parts = shared_parts(&arrival.parts);
     let charge =
         host.dispatcher.borrow().charge_of(id).map(|(team, cost)| (team.to_string(), cost));
     let (team, cost) = charge.unwrap_or_default();
@@ -208,6 +225,7 @@
         .with("team", team)
         .with("cost", cost)
         .with("model", arrival.model.map(|model| model.to_string()).unwrap_or_default())
+        .with("parts", parts)
         .with("layout", host.dispatcher.borrow().version().0)
         .info();
     host.report_due.notify_one();
@@ -224,6 +242,13 @@
     }
 }
 
+/// Returns the ids of a prompt's parts for the log, without the last one, which is the request's own.
+fn shared_parts(parts: &[PromptPart]) -> String {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let ids = shared.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
+}
+
 fn host_name(head: &hyper::http::request::Parts) -> String {
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let name = head.uri.host().or(header).unwrap_or_default();
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -193,6 +193,7 @@
         }
         return AttemptOutcome::End(end);
     }
+    host.dispatcher.borrow_mut().record_answer_head(boot_time(), id);
     let status = response.status();
     let headers = answer_headers(response.headers());
     if request.is_stream && status.is_success() {
