Add a failing test of requests that crash targets one after another

The stand-in for a server can crash when it begins to answer a prompt with a given part, and starts again elsewhere.

--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -36,6 +36,8 @@
     directory: PathBuf,
     /// Heartbeat number of the servers' latest entries.
     beat: u64,
+    /// Number of servers that were started again after a crash.
+    start_number: u64,
 }
 
 impl PlatformFleet {
@@ -61,8 +63,14 @@
         let name = format!("mangodeal-platform-{}-{}", std::process::id(), free_port());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).unwrap();
-        let mut fleet =
-            PlatformFleet { store, servers: Vec::new(), fronts: Vec::new(), directory, beat: 1 };
+        let mut fleet = PlatformFleet {
+            store,
+            servers: Vec::new(),
+            fronts: Vec::new(),
+            directory,
+            beat: 1,
+            start_number: 0,
+        };
         for (id, service, models) in [
             ("orders-1", "orders", &[][..]),
             ("orders-2", "orders", &[][..]),
@@ -101,6 +109,36 @@
         self.write_heartbeats();
     }
 
+    /// Adds an engine that holds the given models.
+    pub async fn add_engine(&mut self, id: &str, models: &[&str]) {
+        self.servers.push(StandinServer::start(id, "engines", "east", models).await);
+        self.write_heartbeats();
+    }
+
+    /// Starts the servers again that crashed at least `pause` ago, under another id, at another
+    /// address and without models. Returns the crashed ones.
+    pub async fn revive_crashed(&mut self, pause: Duration) -> Vec<StandinServer> {
+        let mut crashed = Vec::new();
+        for at in 0..self.servers.len() {
+            let since = self.servers[at].crashed_at();
+            if since.is_none_or(|since| since.elapsed() < pause) {
+                continue;
+            }
+            self.start_number += 1;
+            let former = &self.servers[at];
+            let id = format!("engine-r{}", self.start_number);
+            let server = StandinServer::start(&id, &former.service, &former.zone, &[]).await;
+            server.set_start_number(self.start_number);
+            let former = std::mem::replace(&mut self.servers[at], server);
+            self.store.delete(&format!("servers/{}", former.id));
+            crashed.push(former);
+        }
+        if !crashed.is_empty() {
+            self.write_heartbeats();
+        }
+        crashed
+    }
+
     async fn add_front(&mut self, number: usize) {
         let store = FaultProxy::start(self.store.address()).await.unwrap();
         let loopback = |port| SocketAddr::from(([127, 0, 0, 1], port));
