Share evidence of crashes over the fleet and refuse the prompt parts that cause them

Cause: a crash counted for its target only. Nothing connected it with what the requests that were about to be answered had in common, and each of 7 daemons saw a crash or two.

Fix: when an attempt breaks before its first event and the target's address refuses connections, the daemon records a crash and its suspects (crate suspect) and publishes them as its record in the store, under a lease of ten minutes. All daemons follow these records as they follow the targets. After three crashes a part is condemned that explains them best; parts that can't be told apart are condemned only together, answers elsewhere clear the sound ones, and a verdict holds for the teams that were involved, for all after the second. Condemned requests get code 1306 (400, no retry hint) at once. A suspect is sent again only if its parts have been answered since their last crash. No leader is needed, and restarts lose nothing.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -83,6 +83,8 @@
     NotReady = 1304, 503, no, "this host takes no requests at present";
     /// Too many requests wait at this daemon.
     QueueFull = 1305, 503, no, "too many requests are waiting at this host";
+    /// A part of the prompt has crashed the targets that began to answer it.
+    PartCondemned = 1306, 400, no, "a part of the prompt has crashed the targets that began to answer it";
     /// The request is malformed.
     BadRequest = 1401, 400, no, "the request is malformed";
     /// The request is larger than allowed.
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -5,13 +5,15 @@
 
 pub(crate) use sync::sync_pause;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::{Name, ResultCode, SortedMap, TargetName, TeamName, Time};
-use fleet::{FleetLayout, LayoutVersion, ModelRef, TargetDeparture, TargetLoad};
+use fleet::{FleetLayout, LayoutVersion, ModelRef, TargetDeparture, TargetLoad, TargetPhase};
 
 use limit::{LimitNotice, PERMIT_VALIDITY};
+use suspect::{CrashId, CrashLedger, PartId, SuspectRequest};
 
 use crate::budget::TeamBudget;
 use crate::choice::TargetChooser;
@@ -43,6 +45,11 @@
 /// Jitter of a target's pause. Each daemon extends the pause by a random part of this fraction, so
 /// that they don't all return at once.
 const PAUSE_JITTER: f64 = 0.25;
+/// Reason of a refusal because of a condemned prompt part.
+const CONDEMNED: &str = "condemned prompt part";
+/// A request whose first event arrived at most this long before its target crashed may be the one that
+/// crashed it.
+const BEGUN_SPAN: Duration = Duration::from_millis(50);
 /// Weight of a team's priority relative to that of a route.
 const TEAM_WEIGHT: u8 = 3;
 
@@ -97,6 +104,7 @@
     leaving: Vec<(TargetDeparture, Option<u64>)>,
     /// Targets whose limits the leader should learn, likewise.
     changed_limits: Vec<(TargetName, Option<u64>)>,
+    ledger: CrashLedger,
 }
 
 impl RequestDispatcher {
@@ -119,6 +127,7 @@
             sync_number: 0,
             acknowledged: 0,
             synced_at: now,
+            ledger: CrashLedger::new(config.host.clone(), config.seed),
             config,
             leaving: Vec::new(),
             changed_limits: Vec::new(),
@@ -265,6 +274,13 @@
         let service = route
             .choose_service(arrival.draw)
             .ok_or_else(|| Refusal::new(ResultCode::NotFound, "no service"))?;
+        let suspect = SuspectRequest::new(
+            team.map(|team| team.name.clone()),
+            arrival.parts.iter().map(|part| PartId(part.id)),
+        );
+        if self.ledger.condemns(now, &suspect).is_some() {
+            return Err(Refusal::new(ResultCode::PartCondemned, CONDEMNED));
+        }
         let tokens = arrival.tokens.map(|(prompt, output)| prompt.0 + output.0);
         let cost = team.and_then(|team| team.allowance).map_or(0.0, |allowance| {
             match tokens.filter(|_| allowance.in_tokens) {
@@ -294,6 +310,8 @@
             draw: arrival.draw,
             model: arrival.model.clone(),
             chain,
+            suspect,
+            is_cleared: false,
             deadline: now + max_wait,
             first_event_by: now + max_wait.min(first_patience(route)),
             tried: Vec::new(),
@@ -430,6 +448,8 @@
             self.targets.set_load(now, target, load);
         }
         if let Some((took, estimate)) = self.targets.record_first_event(now, target, id) {
+            let delay = CrashLedger::answers_delay(self.daemons, self.chooser.random_fraction());
+            self.ledger.record_answer(now, &request.suspect.parts, delay);
             match &request.model {
                 Some(subject) => self.chooser.learn_factor(&subject.model, took, estimate),
                 None => self.chooser.learn_work(&request.service, took),
@@ -437,6 +457,44 @@
         }
     }
 
+    /// Returns the address of the target that a request runs on, if the request may be the reason when
+    /// the target has crashed: its answer has not begun, or only just.
+    pub fn suspect_address(&self, now: Time, id: u64) -> Option<SocketAddr> {
+        let (target, progress) = self.running_on(id)?;
+        if self.requests.get(&id)?.suspect.parts.is_empty() {
+            return None;
+        }
+        let has_begun = match progress {
+            AnswerProgress::Events(at) => now.since(at) > BEGUN_SPAN,
+            AnswerProgress::Pending | AnswerProgress::Head(_) => false,
+        };
+        let entry = self.targets.entry(target)?;
+        // The end of a leaving target is no crash.
+        let is_ready = entry.phase == TargetPhase::Ready;
+        (is_ready && !has_begun).then_some(entry.address)
+    }
+
+    /// Records that the target crashed which a request runs on, and that the request is suspected.
+    pub fn record_crash(&mut self, now: Time, id: u64) -> Option<CrashId> {
+        let target = self.running_on(id)?.0;
+        let born_ms = self.targets.entry(target)?.born_ms;
+        let crash = CrashId { target: target.clone(), born_ms };
+        let request = self.requests.get_mut(&id)?;
+        request.is_cleared = self.ledger.may_resend(now, &crash, &request.suspect);
+        self.ledger.record_crash(now, &crash, request.suspect.clone());
+        Some(crash)
+    }
+
+    /// Returns the evidence of crashes.
+    pub fn ledger(&self) -> &CrashLedger {
+        &self.ledger
+    }
+
+    /// Returns the evidence of crashes mutably.
+    pub fn ledger_mut(&mut self) -> &mut CrashLedger {
+        &mut self.ledger
+    }
+
     /// Records how an attempt ended, and returns what to do next.
     pub fn finish_attempt(&mut self, now: Time, id: u64, end: AttemptEnd) -> NextAction {
         let Some(request) = self.requests.get_mut(&id) else { return NextAction::PassOn };
@@ -463,7 +521,9 @@
                 self.targets.record_holding(now, &target, subject, false);
             }
         }
-        let may_retry = request.route.kind.is_repeatable() && request.has_attempts();
+        let may_retry = request.route.kind.is_repeatable()
+            && request.has_attempts()
+            && (end != AttemptEnd::Crashed || request.is_cleared);
         let should_retry = match end {
             AttemptEnd::Served | AttemptEnd::Abandoned => {
                 self.close(now, id, false);
@@ -472,7 +532,11 @@
             AttemptEnd::NotSent | AttemptEnd::Withheld => request.fetches <= MAX_UNSENT,
             AttemptEnd::Replaced | AttemptEnd::Lacking => true,
             AttemptEnd::Full(_) => request.has_attempts(),
-            AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Broken | AttemptEnd::Failed => {
+            AttemptEnd::Lost
+            | AttemptEnd::Silent
+            | AttemptEnd::Broken
+            | AttemptEnd::Crashed
+            | AttemptEnd::Failed => {
                 let daemons = self.daemons;
                 may_retry
                     && self
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -6,7 +6,7 @@
 use fleet::{ModelRef, PermitRequest};
 use limit::PermitUse;
 
-use super::{RequestDispatcher, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
+use super::{RequestDispatcher, CONDEMNED, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::budget::{ChargeResult, RequestCharge};
 use crate::choice::Choice;
 use crate::request::{Dispatch, OpenRequest, Refusal, RequestStage, Step};
@@ -62,6 +62,11 @@
         let Some(request) = self.requests.get(&id) else {
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
+        if self.ledger.condemns(now, &request.suspect).is_some() {
+            let refusal = request.to_refusal(ResultCode::PartCondemned, Duration::ZERO, CONDEMNED);
+            // The request must not come again.
+            return Step::Refuse(Refusal { retry_after: None, ..refusal });
+        }
         if now >= request.first_event_by && request.sends == 0 {
             let reason = "waited too long";
             return Step::Refuse(request.to_refusal(ResultCode::NoCapacity, RETRY_AFTER, reason));
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -6,6 +6,7 @@
 use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
 use fleet::{LayoutVersion, ModelRef, PermitRequest, PromptPart, RouteEntry, TargetLoad};
 use limit::{PermitDenial, PermitUse};
+use suspect::SuspectRequest;
 
 use crate::record::PromptChain;
 
@@ -155,6 +156,8 @@
     Silent,
     /// The answer is cut short, malformed or belongs to another request.
     Broken,
+    /// The target's process ended when it was about to begin to answer.
+    Crashed,
     /// The target itself failed to serve the request.
     Failed,
     /// The answer arrived completely.
@@ -202,6 +205,10 @@
     pub(crate) draw: u64,
     pub(crate) model: Option<ModelRef>,
     pub(crate) chain: PromptChain,
+    /// Team and shared prompt parts, which may be suspected when a target crashes.
+    pub(crate) suspect: SuspectRequest,
+    /// Whether another target may be tried after the last one crashed.
+    pub(crate) is_cleared: bool,
     pub(crate) deadline: Time,
     /// When the first event of a stream, or any other answer, must arrive: clients leave then.
     pub(crate) first_event_by: Time,
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -719,6 +719,7 @@
             | AttemptEnd::Lost
             | AttemptEnd::Silent
             | AttemptEnd::Broken
+            | AttemptEnd::Crashed
             | AttemptEnd::Failed => Some(true),
             AttemptEnd::Full(load) => {
                 if let Some(load) = load {
@@ -752,7 +753,8 @@
         let span = FAILURE_BACKOFF.0 * 2u32.saturating_pow(state.failures.min(8) - 1);
         let until = now + span.min(FAILURE_BACKOFF.1);
         match end {
-            AttemptEnd::NotSent => state.unreachable_until = until,
+            // Nothing listens at the address, or nothing can reach it.
+            AttemptEnd::NotSent | AttemptEnd::Crashed => state.unreachable_until = until,
             _ => state.avoid_until = until,
         }
         true
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -23,6 +23,7 @@
     build_answer, full_body, refusal_answer, refusal_for_code, with_close, CompleteAnswer,
     ReplyBody,
 };
+use crate::conn::is_refused;
 use crate::exchange::{run_attempt, AttemptOutcome, ForwardRequest, OpenStream};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
@@ -42,6 +43,8 @@
 /// once.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Time limit of finding out whether a target's process has ended.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Most parts of a prompt in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -67,6 +70,25 @@
             .with("after_ms", u64::try_from(ms).unwrap_or(u64::MAX))
     }
 
+    /// Checks whether the target crashed when it was about to answer the request. If so, records the
+    /// crash and returns [`AttemptEnd::Crashed`], and the given end otherwise.
+    async fn check_crash(&self, end: AttemptEnd) -> AttemptEnd {
+        if !matches!(end, AttemptEnd::Lost | AttemptEnd::Broken) {
+            return end;
+        }
+        let address = self.host.dispatcher.borrow().suspect_address(boot_time(), self.id);
+        let Some(address) = address else { return end };
+        if !is_refused(address, CRASH_CHECK_TIMEOUT).await {
+            return end;
+        }
+        let mut dispatcher = self.host.dispatcher.borrow_mut();
+        let Some(crash) = dispatcher.record_crash(boot_time(), self.id) else { return end };
+        self.log_line("crash_suspect").text("crash", &crash).info();
+        drop(dispatcher);
+        self.host.evidence_changed.notify_one();
+        AttemptEnd::Crashed
+    }
+
     /// Records how the current attempt ended and returns what to do next.
     fn end_attempt(&mut self, end: AttemptEnd) -> NextAction {
         let now = boot_time();
@@ -116,6 +138,7 @@
         AttemptEnd::Lost => "lost",
         AttemptEnd::Silent => "silent",
         AttemptEnd::Broken => "broken",
+        AttemptEnd::Crashed => "crashed",
         AttemptEnd::Failed => "failed",
         AttemptEnd::Served => "served",
         AttemptEnd::Abandoned => "abandoned",
@@ -187,6 +210,7 @@
                 .with("code", refused.code.number())
                 .with("reason", refused.reason)
                 .with("path", arrival.path)
+                .with("parts", shared_parts(&arrival.parts))
                 .with("layout", host.dispatcher.borrow().version().0)
                 .info();
             host.metrics.count_refusal(refused.code.number());
@@ -385,7 +409,7 @@
                 return RequestResult::Complete(answer);
             }
             AttemptOutcome::Failed(answer) => (AttemptEnd::Failed, Some(answer)),
-            AttemptOutcome::End(end) => (end, None),
+            AttemptOutcome::End(end) => (guard.check_crash(end).await, None),
         };
         match (guard.end_attempt(end), failed) {
             (NextAction::Retry, _) => {}
@@ -476,6 +500,7 @@
         let Some(stream) = self.stream.take() else { return false };
         let last = stream.splitter.last_id().map(str::to_owned);
         drop(stream);
+        let end = self.guard.check_crash(end).await;
         let action = self.guard.end_attempt(end);
         if action != NextAction::Retry || !is_resumable {
             if action == NextAction::Retry {
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -44,6 +44,15 @@
     let _ = socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
 }
 
+/// Returns whether an address refuses connections, because no process listens there. Returns false if
+/// that isn't known within `limit`.
+pub(crate) async fn is_refused(address: SocketAddr, limit: Duration) -> bool {
+    match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// An HTTP connection that carries one exchange at a time.
 pub(crate) struct PooledConn {
     sender: SendRequest<Full<Bytes>>,
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -14,6 +14,7 @@
 use platform::store::WatchReply;
 
 use crate::election::{self, DAEMON_PREFIX, LEADER_KEY};
+use crate::evidence::{self, EVIDENCE_PREFIX};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::orders;
@@ -136,6 +137,8 @@
             with_prefix(DAEMON_PREFIX).filter_map(|item| election::parse_registration(&item.key));
         host.registered_hosts.borrow_mut().replace_seats(now, hosts);
         election::update_registered_hosts(&host);
+        let records = with_prefix(EVIDENCE_PREFIX);
+        evidence::apply_records(&host, records.map(|item| (item.key.as_str(), &item.value[..])));
         let leader = with_prefix(DAEMON_PREFIX).find(|item| item.key == LEADER_KEY);
         let leader = leader.and_then(|item| election::parse_leader(&item.value, item.revision));
         election::apply_leader(&host, revision, leader);
@@ -433,6 +436,13 @@
             election::apply_leader(&self.host, revision, entry);
             return false;
         }
+        if key.starts_with(EVIDENCE_PREFIX) {
+            // Evidence ends by its age, not with its record.
+            if let KeyEvent::Put(item) = event {
+                evidence::apply_record(&self.host, key, &item.value, false);
+            }
+            return false;
+        }
         let Some(registered_host) = election::parse_registration(key) else { return false };
         match event {
             KeyEvent::Put(_) => self.host.registered_hosts.borrow_mut().add_seat(registered_host),
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{Name, Revision, Time};
+use base::{Name, Revision, SortedMap, Time};
 use daemon::boot_time;
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher};
@@ -79,6 +79,10 @@
     pub(crate) report_due: Notify,
     /// Notified when the leader key has changed.
     pub(crate) leader_changed: Notify,
+    /// Notified when evidence of crashes has changed.
+    pub(crate) evidence_changed: Notify,
+    /// Leases of the hosts' records of evidence in the store.
+    pub(crate) evidence_leases: RefCell<SortedMap<Name, LeaseId>>,
     /// Notified when the leader's plan may have work to do.
     pub(crate) plan_due: Notify,
     /// Until when the list of targets is fresh enough to send requests.
@@ -121,6 +125,8 @@
             state_changed: Notify::new(),
             report_due: Notify::new(),
             leader_changed: Notify::new(),
+            evidence_changed: Notify::new(),
+            evidence_leases: RefCell::default(),
             plan_due: Notify::new(),
             list_validity: Cell::default(),
             has_listed: Cell::new(false),
@@ -138,6 +144,8 @@
             repeats: counts.repeats,
             limited_sends: counts.limited_sends,
             limited_targets: dispatcher.targets().limits().targets().count(),
+            suspected_crashes: dispatcher.ledger().suspected_crashes(),
+            condemned_parts: dispatcher.ledger().verdicts().len(),
             open_requests: dispatcher.open_count(),
             store_calls: self.store.call_count(),
             lines_dropped: self.dropped_lines.total(),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -29,6 +29,7 @@
 mod conn;
 mod election;
 mod events;
+mod evidence;
 mod exchange;
 mod follow;
 mod host;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -24,6 +24,8 @@
     repeats: Gauge<i64>,
     limited_sends: Gauge<i64>,
     limited_targets: Gauge<i64>,
+    suspected_crashes: Gauge<i64>,
+    condemned_parts: Gauge<i64>,
     open_requests: Gauge<i64>,
     store_calls: Gauge<i64>,
     lines_dropped: Gauge<i64>,
@@ -38,6 +40,8 @@
     pub(crate) repeats: u64,
     pub(crate) limited_sends: u64,
     pub(crate) limited_targets: usize,
+    pub(crate) suspected_crashes: usize,
+    pub(crate) condemned_parts: usize,
     pub(crate) open_requests: usize,
     pub(crate) store_calls: u64,
     pub(crate) lines_dropped: u64,
@@ -60,6 +64,8 @@
             repeats: Gauge::default(),
             limited_sends: Gauge::default(),
             limited_targets: Gauge::default(),
+            suspected_crashes: Gauge::default(),
+            condemned_parts: Gauge::default(),
             open_requests: Gauge::default(),
             store_calls: Gauge::default(),
             lines_dropped: Gauge::default(),
@@ -92,6 +98,16 @@
             "Targets that have named a limit",
             metrics.limited_targets.clone(),
         );
+        registry.register(
+            "suspected_crashes",
+            "Crashes of targets with suspected prompt parts",
+            metrics.suspected_crashes.clone(),
+        );
+        registry.register(
+            "condemned_parts",
+            "Sets of prompt parts that are refused",
+            metrics.condemned_parts.clone(),
+        );
         registry.register("open_requests", "Requests in the daemon", metrics.open_requests.clone());
         registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
         registry.register("lines_dropped", "Dropped log lines", metrics.lines_dropped.clone());
@@ -131,6 +147,9 @@
         self.repeats.set(to_gauge(readings.repeats));
         self.limited_sends.set(to_gauge(readings.limited_sends));
         self.limited_targets.set(i64::try_from(readings.limited_targets).unwrap_or(i64::MAX));
+        let to_count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.suspected_crashes.set(to_count(readings.suspected_crashes));
+        self.condemned_parts.set(to_count(readings.condemned_parts));
         self.open_requests.set(i64::try_from(readings.open_requests).unwrap_or(i64::MAX));
         self.store_calls.set(to_gauge(readings.store_calls));
         self.lines_dropped.set(to_gauge(readings.lines_dropped));
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -24,7 +24,7 @@
 use crate::host::{sleep_until, Host, MAX_LOOP_PAUSE};
 use crate::logging::{init_logging, LogLine};
 use crate::metrics::Metrics;
-use crate::{caller, conn, election, follow, orders, peer, FrontSettings};
+use crate::{caller, conn, election, evidence, follow, orders, peer, FrontSettings};
 
 /// Least time from SIGTERM to exit. The balancer probes twice, a second apart, before it stops
 /// sending connections here.
@@ -89,6 +89,7 @@
     spawn_local(election::run_election(host.clone()));
     spawn_local(peer::run_sync_loop(host.clone()));
     spawn_local(orders::run_plan_loop(host.clone()));
+    spawn_local(evidence::maintain_evidence(host.clone()));
     spawn_local(expire_idle_conns(host.clone()));
     let (stop, stopped) = watch::channel(false);
     let open_conns = Rc::new(Cell::new(0));
--- a/crates/suspect/src/ledger.rs
+++ b/crates/suspect/src/ledger.rs
@@ -6,7 +6,7 @@
 
 use crate::answered::AnsweredTable;
 use crate::evidence::{CrashReport, HostEvidence};
-use crate::verdict::{max_answers, reach_verdicts, PartVerdict};
+use crate::verdict::{count_crashes, max_answers, reach_verdicts, CrashCase, PartVerdict};
 use crate::{CrashId, PartId, SuspectRequest};
 
 /// How long evidence counts after it was last used to refuse a request, or was received.
@@ -24,6 +24,9 @@
 /// Delay of a report that only has answers: the first value, plus up to the second for each daemon. One
 /// daemon's answers are often enough to clear a part, and all daemons have some.
 const ANSWERS_DELAY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(10));
+/// How long the reports of a crash may take to arrive from all daemons. The leader relays changes of the
+/// store within about a second in a fleet of 300.
+const SETTLING_SPAN: Duration = Duration::from_millis(1_500);
 /// Delay of a report that only removes cleared parts, for daemons that start later.
 const CLEARANCE_DELAY: Duration = Duration::from_secs(2);
 
@@ -36,6 +39,8 @@
     /// Whether this host saw the crash.
     is_own: bool,
     seen_at: Time,
+    /// When all daemons' reports have probably arrived.
+    settled_at: Time,
     used_at: Time,
 }
 
@@ -70,6 +75,7 @@
     reported: SortedMap<(Name, PartId), (u64, u32)>,
     recent: AnsweredTable,
     verdicts: Vec<PartVerdict>,
+    review_at: Option<Time>,
     /// Number of the last change of this host's evidence, and of the last one that was published.
     changed: u64,
     published: u64,
@@ -91,6 +97,7 @@
             reported: SortedMap::default(),
             recent: AnsweredTable::default(),
             verdicts: Vec::new(),
+            review_at: None,
             changed: 0,
             published: 0,
             crashes_due: None,
@@ -137,7 +144,19 @@
         ANSWERS_DELAY.0 + (ANSWERS_DELAY.1 * daemons).mul_f64(draw.clamp(0.0, 1.0))
     }
 
-    /// Adds the evidence of a host. This host's own counts, from an earlier process, are ignored.
+    /// Adds evidence that was published some time ago, so that no further reports of its crashes are
+    /// expected.
+    pub fn apply_old_evidence(&mut self, now: Time, host: &Name, evidence: &HostEvidence) {
+        self.apply_evidence(now, host, evidence);
+        for report in &evidence.crashes {
+            if let Some(entry) = self.crashes.get_mut(&report.crash) {
+                entry.settled_at = entry.settled_at.min(now);
+            }
+        }
+        self.review(now);
+    }
+
+    /// Adds the evidence that a host has published. This process's own counts are ignored.
     pub fn apply_evidence(&mut self, now: Time, host: &Name, evidence: &HostEvidence) {
         let is_own = *host == self.host;
         for report in &evidence.crashes {
@@ -176,6 +195,7 @@
             cleared: Vec::new(),
             is_own: false,
             seen_at: now,
+            settled_at: now + SETTLING_SPAN,
             used_at: now,
         });
         entry.is_own |= is_own;
@@ -188,8 +208,18 @@
                 entry.suspects.push(suspect);
             }
         }
+        if self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, entry)| entry.used_at);
+            if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
+                self.crashes.remove(&crash);
+            }
+        }
+        if added.is_empty() {
+            return;
+        }
+        let counts = self.crash_counts();
         for part in added {
-            let enough = max_answers(self.crash_count(part));
+            let enough = max_answers(counts.get(&part).copied().unwrap_or(0));
             if !self.answered.contains(&part) {
                 self.answered.insert(part, 0);
                 self.shared_answered.insert(part, SharedAnswers::default());
@@ -198,34 +228,32 @@
                 shared.enough = enough;
             }
         }
-        if self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, entry)| entry.used_at);
-            if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
-                self.crashes.remove(&crash);
-            }
-        }
     }
 
     /// Returns whether a part is suspected of a crash.
     pub fn is_suspected(&self, part: PartId) -> bool {
-        self.crash_count(part) > 0
+        self.answered.contains(&part)
     }
 
-    fn crash_count(&self, part: PartId) -> usize {
-        let holds = |entry: &&CrashEntry| {
-            entry.suspects.iter().any(|suspect| suspect.parts.contains(&part))
-        };
-        self.crashes.values().filter(holds).count()
+    /// Returns the number of crashes that each part is suspected of.
+    fn crash_counts(&self) -> SortedMap<PartId, usize> {
+        count_crashes(self.crashes.values().map(|entry| entry.suspects.as_slice()))
     }
 
     /// Clears the parts that were answered often enough, and reaches the verdicts anew.
     fn review(&mut self, now: Time) {
-        let counts: Vec<(PartId, u32)> = self.answered.iter().map(|(p, n)| (*p, *n)).collect();
-        for (part, answers) in counts {
-            let crashes = self.crash_count(part);
-            if crashes == 0 || answers > max_answers(crashes) {
-                self.clear_part(now, part);
-            }
+        let counts = self.crash_counts();
+        let cleared: Vec<PartId> = self
+            .answered
+            .iter()
+            .filter(|(part, answers)| {
+                let crashes = counts.get(part).copied().unwrap_or(0);
+                crashes == 0 || **answers > max_answers(crashes)
+            })
+            .map(|(part, _)| *part)
+            .collect();
+        for part in cleared {
+            self.clear_part(now, part);
         }
         self.own_answered.retain(|part, own| {
             let is_recent = now.since(own.last_at) < ANSWERS_SPAN;
@@ -238,8 +266,26 @@
         if !self.own_answered.iter().any(is_needed) {
             self.answers_due = None;
         }
-        let cases = self.crashes.iter().map(|(crash, entry)| (crash, entry.suspects.as_slice()));
+        let cases = self.crashes.iter().map(|(crash, entry)| CrashCase {
+            crash,
+            suspects: &entry.suspects,
+            is_settled: entry.settled_at <= now,
+        });
         self.verdicts = reach_verdicts(cases.collect(), &self.answered);
+        let settling = self.crashes.values().map(|entry| entry.settled_at);
+        self.review_at = settling.filter(|settled_at| *settled_at > now).min();
+    }
+
+    /// Returns when time alone may change the verdicts.
+    pub fn review_due(&self) -> Option<Time> {
+        self.review_at
+    }
+
+    /// Reaches the verdicts anew if that is due.
+    pub fn update(&mut self, now: Time) {
+        if self.review_at.is_some_and(|at| now >= at) {
+            self.review(now);
+        }
     }
 
     fn clear_part(&mut self, now: Time, part: PartId) {
@@ -260,6 +306,7 @@
 
     /// Returns the verdict that condemns a request, if there is one, and keeps its evidence.
     pub fn condemns(&mut self, now: Time, request: &SuspectRequest) -> Option<&PartVerdict> {
+        self.update(now);
         let verdict = self.verdicts.iter().find(|verdict| verdict.covers(request))?;
         for crash in &verdict.crashes {
             if let Some(entry) = self.crashes.get_mut(crash) {
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -24,7 +24,7 @@
 //!     // Other requests with the common part are answered.
 //!     ledger.record_answer(Time::from_millis(number), &[common], Duration::ZERO);
 //! }
-//! let now = Time::from_millis(1_000);
+//! let now = Time::from_millis(2_000);
 //! assert!(ledger.condemns(now, &request).is_some());
 //! let sound = SuspectRequest { parts: vec![common], ..request };
 //! assert!(ledger.condemns(now, &sound).is_none());
--- a/crates/suspect/src/verdict.rs
+++ b/crates/suspect/src/verdict.rs
@@ -9,7 +9,7 @@
 /// Crashes from which several sets of parts are condemned that explain the same crashes. With fewer,
 /// the next crash or answer is likely to tell them apart.
 const AMBIGUOUS_CRASHES: usize = MIN_CRASHES + 1;
-/// A part is condemned only while at most this many requests with it were answered for each crash.
+/// A part is cleared when more than this many requests with it were answered for each crash.
 const ANSWERS_PER_CRASH: u32 = 2;
 
 /// Parts that crash targets when one request holds all of them.
@@ -31,32 +31,55 @@
     }
 }
 
-/// The crashes, with the requests that are still suspected.
-pub(crate) type CrashCase<'a> = (&'a CrashId, &'a [SuspectRequest]);
+/// A crash, with the requests that are still suspected of it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CrashCase<'a> {
+    pub(crate) crash: &'a CrashId,
+    pub(crate) suspects: &'a [SuspectRequest],
+    /// Whether all daemons' reports of the crash have probably arrived.
+    pub(crate) is_settled: bool,
+}
+
+impl CrashCase<'_> {
+    fn holds(&self, part: PartId) -> bool {
+        self.suspects.iter().any(|suspect| suspect.parts.contains(&part))
+    }
+}
 
 /// Returns the number of answers above which a part with this many crashes is cleared.
 pub(crate) fn max_answers(crashes: usize) -> u32 {
     u32::try_from(crashes).unwrap_or(u32::MAX).saturating_mul(ANSWERS_PER_CRASH)
 }
 
+/// Returns how many answers a part with this many crashes may have to be condemned; `None` if the
+/// crashes are too few. Few crashes of many requests are more likely to be chance: when targets crash
+/// for other reasons, some rare part is beside three of the crashes.
+fn allowed_answers(crashes: usize) -> Option<u32> {
+    match crashes.checked_sub(MIN_CRASHES)? {
+        0 => Some(1),
+        1 => u32::try_from(crashes).ok(),
+        _ => Some(max_answers(crashes)),
+    }
+}
+
 /// Returns the verdicts that the evidence allows.
 ///
 /// A part that stands in a crashed request beside the guilty one has the same crashes, but is answered
 /// elsewhere. So the part with the largest share of crashes is condemned first, and its crashes no
-/// longer count against others.
+/// longer count against others. Parts that can't be told apart from it are condemned only together.
 pub(crate) fn reach_verdicts(
     mut cases: Vec<CrashCase<'_>>,
     answered: &SortedMap<PartId, u32>,
 ) -> Vec<PartVerdict> {
     let mut verdicts = Vec::new();
     loop {
-        let counts = count_crashes(&cases);
+        let counts = count_crashes(cases.iter().map(|case| case.suspects));
         let answers = |part: PartId| answered.get(&part).copied().unwrap_or(0);
         let share = |part: PartId, crashes: usize| {
             crashes as f64 / (crashes as f64 + f64::from(answers(part)))
         };
         let candidates = counts.iter().filter(|(part, crashes)| {
-            **crashes >= MIN_CRASHES && answers(**part) <= max_answers(**crashes)
+            allowed_answers(**crashes).is_some_and(|allowed| answers(**part) <= allowed)
         });
         let order = |(a, a_crashes): &(&PartId, &usize), (b, b_crashes): &(&PartId, &usize)| {
             let by_share = share(**a, **a_crashes).total_cmp(&share(**b, **b_crashes));
@@ -67,45 +90,47 @@
             return verdicts;
         };
         let explained: Vec<CrashCase<'_>> =
-            cases.iter().filter(|(_, suspects)| is_in(best, suspects)).copied().collect();
-        let is_tied = |part: &PartId| {
-            counts.get(part) == Some(&explained.len())
-                && answers(*part) == answers(best)
-                && explained.iter().all(|(_, suspects)| is_in(*part, suspects))
+            cases.iter().filter(|case| case.holds(best)).copied().collect();
+        // The report of the guilty request may still be missing from crashes that aren't settled.
+        let settled: Vec<CrashCase<'_>> =
+            explained.iter().filter(|case| case.is_settled).copied().collect();
+        let is_rival = |part: &PartId| {
+            answers(*part) <= answers(best) && settled.iter().all(|case| case.holds(*part))
         };
-        let tied: Vec<PartId> = counts.keys().copied().filter(is_tied).collect();
-        let sets = common_sets(&explained, &tied);
-        if sets.len() == 1 || explained.len() >= AMBIGUOUS_CRASHES {
+        let rivals: Vec<PartId> = counts.keys().copied().filter(is_rival).collect();
+        let sets = common_sets(&settled, &rivals);
+        let is_clear = sets.len() == 1 || settled.len() >= AMBIGUOUS_CRASHES;
+        if is_clear && !settled.is_empty() {
             verdicts.extend(sets.into_iter().map(|parts| to_verdict(parts, &explained)));
         }
-        cases.retain(|(_, suspects)| !is_in(best, suspects));
+        cases.retain(|case| !case.holds(best));
     }
 }
 
-fn is_in(part: PartId, suspects: &[SuspectRequest]) -> bool {
-    suspects.iter().any(|suspect| suspect.parts.contains(&part))
-}
-
-fn count_crashes(cases: &[CrashCase<'_>]) -> SortedMap<PartId, usize> {
-    let mut counts = SortedMap::default();
-    for (_, suspects) in cases {
-        let mut parts: Vec<PartId> = suspects.iter().flat_map(|s| s.parts.clone()).collect();
+/// Returns in how many crashes each part is among the suspects'.
+pub(crate) fn count_crashes<'a>(
+    cases: impl Iterator<Item = &'a [SuspectRequest]>,
+) -> SortedMap<PartId, usize> {
+    let mut all = Vec::new();
+    for suspects in cases {
+        let parts = suspects.iter().flat_map(|suspect| suspect.parts.iter().copied());
+        let mut parts: Vec<PartId> = parts.collect();
         parts.sort_unstable();
         parts.dedup();
-        for part in parts {
-            *counts.entry(part, || 0) += 1;
-        }
+        all.extend(parts);
     }
-    counts
+    all.sort_unstable();
+    let runs = all.chunk_by(|a, b| a == b);
+    runs.map(|run| (run[0], run.len())).collect()
 }
 
 /// Returns the largest sets of `parts` of which each crash has a suspect that holds the whole set.
 fn common_sets(cases: &[CrashCase<'_>], parts: &[PartId]) -> Vec<Vec<PartId>> {
     let mut sets = vec![parts.to_vec()];
-    for (_, suspects) in cases {
+    for case in cases {
         let mut next: Vec<Vec<PartId>> = Vec::new();
         for (set, suspect) in
-            sets.iter().flat_map(|set| suspects.iter().map(move |suspect| (set, suspect)))
+            sets.iter().flat_map(|set| case.suspects.iter().map(move |suspect| (set, suspect)))
         {
             let common: Vec<PartId> =
                 set.iter().copied().filter(|part| suspect.parts.contains(part)).collect();
@@ -123,11 +148,11 @@
 
 fn to_verdict(parts: Vec<PartId>, cases: &[CrashCase<'_>]) -> PartVerdict {
     let mut teams = Vec::new();
-    for suspect in cases.iter().flat_map(|(_, suspects)| *suspects) {
+    for suspect in cases.iter().flat_map(|case| case.suspects) {
         if suspect.holds_all(&parts) && !teams.contains(&suspect.team) {
             teams.push(suspect.team.clone());
         }
     }
-    let crashes = cases.iter().map(|(crash, _)| (*crash).clone()).collect();
+    let crashes = cases.iter().map(|case| case.crash.clone()).collect();
     PartVerdict { parts, teams, crashes }
 }
--- a/crates/suspect/tests/part_verdicts.rs
+++ b/crates/suspect/tests/part_verdicts.rs
@@ -35,8 +35,10 @@
 #[test]
 fn verdict_table() {
     type Suspects<'a> = &'a [(&'a str, &'a [u64])];
+    type Sets<'a> = &'a [&'a [u64]];
+    type Case<'a> = (&'a str, &'a [Suspects<'a>], Sets<'a>, Sets<'a>);
     let guilty: &[u64] = &[1, 0xdead];
-    let cases: &[(&str, &[Suspects<'_>], &[&[u64]], &[&[u64]])] = &[
+    let cases: &[Case<'_>] = &[
         ("two crashes", &[&[("a", guilty)], &[("a", guilty)]], &[], &[]),
         (
             "a part that only ever came with the guilty one",
@@ -62,8 +64,8 @@
         ),
         (
             "a part that does not always crash",
-            &[&[("a", guilty)], &[("a", guilty)], &[("a", guilty)]],
-            &[guilty, guilty, &[1], &[1]],
+            &[&[("a", guilty)], &[("a", guilty)], &[("a", guilty)], &[("a", guilty)]],
+            &[guilty, guilty, &[1], &[1], &[1]],
             &[&[0xdead]],
         ),
         (
@@ -100,6 +102,7 @@
             }
         }
         answers.iter().for_each(|parts| answer(&mut ledger, parts));
+        ledger.update(at(2_000));
         let mut condemned: Vec<Vec<u64>> = ledger
             .verdicts()
             .iter()
@@ -120,10 +123,11 @@
         ledger.record_crash(at(0), &crash(number), request("a", &[7]));
         ledger.record_crash(at(0), &crash(number), request("a", &[8]));
     }
+    ledger.update(at(2_000));
     assert!(ledger.verdicts().is_empty());
-    ledger.record_crash(at(0), &crash(3), request("a", &[7]));
-    assert!(ledger.condemns(at(1), &request("a", &[7])).is_some());
-    assert!(ledger.condemns(at(1), &request("a", &[8])).is_none());
+    ledger.record_crash(at(2_000), &crash(3), request("a", &[7]));
+    assert!(ledger.condemns(at(4_000), &request("a", &[7])).is_some());
+    assert!(ledger.condemns(at(4_000), &request("a", &[8])).is_none());
 }
 
 /// Guards against one team that gets another team's part condemned by mixing it into its own
@@ -134,11 +138,11 @@
     for number in 0..6 {
         ledger.record_crash(at(0), &crash(number), request("a", &[9, 100 + number]));
     }
-    assert!(ledger.condemns(at(1), &request("a", &[9, 200])).is_some());
-    assert!(ledger.condemns(at(1), &request("b", &[9, 200])).is_none());
+    assert!(ledger.condemns(at(2_000), &request("a", &[9, 200])).is_some());
+    assert!(ledger.condemns(at(2_000), &request("b", &[9, 200])).is_none());
     // A crash in a request of the second team shows that the part is guilty for both.
-    ledger.record_crash(at(2), &crash(6), request("b", &[9, 300]));
-    assert!(ledger.condemns(at(3), &request("c", &[9, 400])).is_some());
+    ledger.record_crash(at(2_000), &crash(6), request("b", &[9, 300]));
+    assert!(ledger.condemns(at(4_000), &request("c", &[9, 400])).is_some());
 }
 
 /// Guards against mass crashes, such as the loss of a failure domain, that condemn popular parts.
@@ -152,6 +156,7 @@
     for number in 0..200 {
         answer(&mut ledger, &[FIRST.0, 2 + number % 4, 1_000 + number % 20]);
     }
+    ledger.update(at(2_000));
     assert!(ledger.verdicts().is_empty(), "{:?}", ledger.verdicts());
 }
 
@@ -165,8 +170,8 @@
         ledger.record_crash(at(200), &crash(number), request("a", &[FIRST.0, GUILTY.0]));
         (0..20).for_each(|_| answer(&mut ledger, &[FIRST.0]));
     }
-    assert!(ledger.condemns(at(300), &request("a", &[FIRST.0, GUILTY.0])).is_some());
-    assert!(ledger.condemns(at(300), &request("a", &[FIRST.0])).is_none());
+    assert!(ledger.condemns(at(2_000), &request("a", &[FIRST.0, GUILTY.0])).is_some());
+    assert!(ledger.condemns(at(2_000), &request("a", &[FIRST.0])).is_none());
 }
 
 /// Guards against evidence that doesn't add up over hosts, is counted twice, or is lost when the
@@ -197,7 +202,7 @@
             reader.apply_evidence(at(5), name, &evidence);
         }
     }
-    let verdict = reader.condemns(at(6), &request("a", &[FIRST.0, GUILTY.0])).unwrap().clone();
+    let verdict = reader.condemns(at(2_000), &request("a", &[FIRST.0, GUILTY.0])).unwrap().clone();
     assert_eq!((verdict.parts, verdict.crashes.len()), (vec![GUILTY], 3));
     // What its former process saw stays part of the host's evidence.
     reader.mark_lost(at(7));
@@ -261,3 +266,49 @@
     assert!(!ledger.is_suspected(FIRST));
     assert!(ledger.publish_due().is_some_and(|due| due > at(510)));
 }
+
+/// Guards against a sound part that is condemned because the report of the guilty request arrives a
+/// little later than those of its neighbours.
+#[test]
+fn late_report() {
+    let (team_part, guilty) = (5, 0xdead);
+    let mut ledger = ledger();
+    for number in 0..2 {
+        ledger.record_crash(at(0), &crash(number), request("a", &[team_part, guilty]));
+    }
+    ledger.record_crash(at(3_000), &crash(2), request("a", &[team_part]));
+    assert!(ledger.condemns(at(3_001), &request("a", &[team_part])).is_none());
+    assert!(ledger.condemns(at(3_001), &request("a", &[team_part, guilty])).is_some());
+    ledger.record_crash(at(3_500), &crash(2), request("a", &[team_part, guilty]));
+    ledger.record_answer(at(3_600), &[PartId(team_part)], Duration::ZERO);
+    assert!(ledger.condemns(at(6_000), &request("a", &[team_part])).is_none());
+    assert!(ledger.condemns(at(6_000), &request("a", &[guilty])).is_some());
+}
+
+/// Guards against a host that starts again and lets requests through until the evidence settles.
+#[test]
+fn old_evidence() {
+    let mut reporter = ledger();
+    for number in 0..3 {
+        reporter.record_crash(at(0), &crash(number), request("a", &[GUILTY.0]));
+    }
+    let mut reader = CrashLedger::new("host-2".parse().unwrap(), 1);
+    let evidence = reporter.own_evidence().1;
+    reader.apply_old_evidence(at(10), &"host-1".parse().unwrap(), &evidence);
+    assert!(reader.condemns(at(10), &request("a", &[GUILTY.0])).is_some());
+}
+
+/// Guards against a bystander that is condemned in a burst of crashes, of which only the first one has
+/// settled.
+#[test]
+fn crash_burst() {
+    let mut ledger = ledger();
+    for number in 0..6 {
+        let seen_at = at(if number == 0 { 0 } else { 1_000 });
+        ledger.record_crash(seen_at, &crash(number), request("a", &[1, GUILTY.0]));
+    }
+    ledger.record_crash(at(0), &crash(0), request("b", &[1, 5]));
+    assert!(ledger.condemns(at(1_600), &request("b", &[1, 5])).is_none());
+    assert!(ledger.condemns(at(2_600), &request("b", &[1, 5])).is_none());
+    assert!(ledger.condemns(at(2_600), &request("a", &[1, GUILTY.0])).is_some());
+}
