Treat a stream that ends inside an event as broken off

Callers saw: a stream whose answer has neither a length nor chunks and whose server ended inside an event was passed on as complete, with the partial event, and not resumed where it could be.

Cause: the end of the body was taken as the end of the stream; only a reset or missing chunks counted as broken off.

Fix: an end inside an event, and an end by close before the first event, end the attempt as broken, so that the stream is resumed if it may be, and the caller's answer is cut otherwise. Plain answers that end by close were right before: whole if closed in order, not if reset.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -458,6 +458,8 @@
                             None => continue,
                         }
                     }
+                    // The connection may have ended with the target rather than with the answer.
+                    None if stream.splitter.is_inside_event() => AttemptEnd::Broken,
                     None => return self.finish(),
                     Some(Err(_)) => AttemptEnd::Broken,
                 },
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -30,6 +30,11 @@
         Some(events)
     }
 
+    /// Returns whether the last event is incomplete. A stream that ends there has been broken off.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.partial.iter().any(|byte| !b"\r\n".contains(byte))
+    }
+
     /// Returns the bytes after the last complete event.
     pub(crate) fn finish(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -9,7 +9,7 @@
 use front::{AttemptEnd, Dispatch, RequestDispatcher};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use limit::{LimitNotice, RequestRate};
 use platform::request::{
@@ -195,6 +195,8 @@
     }
     host.dispatcher.borrow_mut().record_answer_head(boot_time(), id);
     let status = response.status();
+    let ends_by_close = !response.headers().contains_key(CONTENT_LENGTH)
+        && !response.headers().contains_key(TRANSFER_ENCODING);
     let headers = answer_headers(response.headers());
     if request.is_stream && status.is_success() {
         let (conn, address) = (conn, dispatch.address);
@@ -202,7 +204,7 @@
             host,
             id,
             head,
-            (status, headers, response.into_body()),
+            (status, headers, response.into_body(), ends_by_close),
             (conn, address),
         )
         .await;
@@ -289,19 +291,23 @@
     (status.is_success() && !head.is_sealed).then_some(AttemptEnd::Broken)
 }
 
-/// Waits for the first event of a stream.
+/// Waits for the first event of a stream. `ends_by_close` is set if the answer has neither a length nor
+/// chunks.
 async fn start_stream(
     host: &Host,
     id: u64,
     head: AnswerHead,
-    (status, headers, mut body): (StatusCode, HeaderMap, Incoming),
+    (status, headers, mut body, ends_by_close): (StatusCode, HeaderMap, Incoming, bool),
     (conn, address): (PooledConn, SocketAddr),
 ) -> AttemptOutcome {
     let mut splitter = EventSplitter::default();
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
-            // A stream without events is complete if its HTTP framing ended properly.
+            None if splitter.is_inside_event() || ends_by_close => {
+                return AttemptOutcome::End(AttemptEnd::Broken);
+            }
+            // A stream without events is complete if its length or its chunks say so.
             None => {
                 let answer = CompleteAnswer { status, headers, body: splitter.finish() };
                 return AttemptOutcome::Complete(answer);
