--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -308,6 +308,14 @@
         let mut is_relevant = false;
         // Relayed changes that were applied meanwhile may be newer.
         let applied = self.revision;
+        let known = changes.iter().filter(|change| change.revision() <= applied).count();
+        if known > 0 {
+            LogLine::new("changes_known")
+                .with("changes", known)
+                .with("until", until.0)
+                .with("revision", applied.0)
+                .info();
+        }
         for change in changes.into_iter().filter(|change| change.revision() > applied) {
             is_relevant |= match change {
                 FollowedChange::Event(event) => self.apply_event(now, event),
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -12,6 +12,7 @@
 use platform::{FormatError, HttpCall};
 
 use crate::conn::{ConnError, ConnPool, PooledConn};
+use crate::logging::LogLine;
 
 /// Time limit of connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -41,11 +42,19 @@
     timeout: Duration,
     pool: RefCell<ConnPool>,
     calls: Cell<u64>,
+    /// Era of the store, by its latest answer; `None` before the first one.
+    era: Cell<Option<u64>>,
 }
 
 impl StoreClient {
     pub(crate) fn new(address: SocketAddr, timeout: Duration) -> StoreClient {
-        StoreClient { address, timeout, pool: RefCell::default(), calls: Cell::new(0) }
+        StoreClient {
+            address,
+            timeout,
+            pool: RefCell::default(),
+            calls: Cell::new(0),
+            era: Cell::new(None),
+        }
     }
 
     /// Returns the number of calls so far.
@@ -127,6 +136,13 @@
         Ok(store::revoke_reply(status)?)
     }
 
+    fn record_era(&self, era: u64) {
+        let known = self.era.replace(Some(era));
+        if known.is_some_and(|known| known != era) {
+            LogLine::new("store_era").with("era", era).with("former", known).info();
+        }
+    }
+
     async fn call(&self, call: &HttpCall, limit: Duration) -> Result<(u16, Bytes), StoreError> {
         self.calls.set(self.calls.get() + 1);
         let now: Time = boot_time();
@@ -141,6 +157,7 @@
         match answer {
             Ok(Ok(answer)) => {
                 self.pool.borrow_mut().put(boot_time(), self.address, conn);
+                self.record_era(store::read_era(answer.headers())?);
                 Ok((answer.status().as_u16(), answer.into_body()))
             }
             Ok(Err(ConnError::NotSent)) => Err(StoreError::NotSent),
