Let revisions carry the era of the store, so that none goes back

Callers saw: after the store had returned from an older copy, a change that had been acknowledged was not in force (404 on a new route), a server that had left got requests, and orders could stop.

Cause: everything that orders by the store's revision compared numbers that the store gives out again: the position of a follower, relayed batches, the leader's log of changes, conditions of transactions, the leader's claim, and fencing tokens.

Fix: base::Revision has the era above its number, and the store's client adds the era of each answer. All comparisons stay, and any revision of a later era is greater. An answer of an earlier era counts as lost, a watch that is answered in another era as compacted, a transaction that compares with revisions of an earlier era as a conflict. After a return, missing targets have the grace of an outage, registrations are made anew, this host's evidence is written again, and a term of an earlier era isn't taken for the host's own. Stores without the header have the era 0, as before.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -169,6 +169,46 @@
     OrderId,
     /// The identifier of a request, unique within one daemon.
     RequestId,
+    /// An era of a store, which rises when the store returns from an older copy. 0: it has no eras.
+    StoreEra,
+}
+
+/// Number of bits of a revision below its era. Together with the era, a revision stays exact as a JSON
+/// number for 8,192 eras.
+const NUMBER_BITS: u32 = 40;
+
+/// Revisions of a store contain its era, so that any revision of a later era is greater. The parts are
+/// only needed where calls to the store are built and answers read.
+///
+/// # Example
+///
+/// ```
+/// use mango_base::{Revision, StoreEra};
+///
+/// let (before, after) = (Revision::in_era(StoreEra(1), 117), Revision::in_era(StoreEra(2), 88));
+/// assert!(after > before);
+/// assert_eq!((after.era(), after.number()), (StoreEra(2), 88));
+/// assert_eq!(Revision::in_era(StoreEra(0), 7), Revision(7));
+/// ```
+impl Revision {
+    /// Creates the revision with this number in an era. The number 0, before the first revision, is the
+    /// same in all eras.
+    pub fn in_era(era: StoreEra, number: u64) -> Revision {
+        if number == 0 {
+            return Revision(0);
+        }
+        Revision((era.0 << NUMBER_BITS) + number)
+    }
+
+    /// Returns the era of the store's revision.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> NUMBER_BITS)
+    }
+
+    /// Returns the number of the store's revision within its era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
 }
 
 /// A daemon instance: the address of a daemon and the incarnation that uses it.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -35,7 +35,7 @@
 pub use code::ResultCode;
 pub use id::{
     Address, ChangeId, DomainName, Fence, Incarnation, ModelName, Name, OrderId, ParseError,
-    RequestId, Revision, Seat, TargetName, TeamName,
+    RequestId, Revision, Seat, StoreEra, TargetName, TeamName,
 };
 pub use label::{Labels, Selector};
 pub use secret::{KeyHash, SecretKey};
--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -82,7 +82,9 @@
     /// Returns the changes since a revision; `None` if the log lacks some of them or is too old.
     pub fn since(&self, now: Time, known: Revision) -> Option<ChangeBatch> {
         let age = now.since(self.asked_at?);
-        if known < self.after || age > MAX_RELAY_AGE {
+        // A daemon that knows a later era of the store is ahead of this log.
+        let is_restored = known.era() > self.until.era();
+        if known < self.after || is_restored || age > MAX_RELAY_AGE {
             return None;
         }
         let newer = self.changes.iter().filter(|change| change.revision > known);
--- a/crates/serve/src/election.rs
+++ b/crates/serve/src/election.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Revision;
+use base::{Revision, StoreEra};
 use daemon::boot_time;
 use lead::{Leader, LeaderConfig, LeaderTerm};
 use node::{LeaseId, StoreTxn};
@@ -77,8 +77,12 @@
 /// because nothing waits for it to end.
 pub(crate) async fn maintain_registration(host: Rc<Host>) {
     let mut lease: Option<LeaseId> = None;
+    let mut era = host.store.era();
     loop {
-        let renewal = match lease {
+        // A restored store may lack the registration, or have given the lease to another daemon.
+        let is_restored = era != host.store.era();
+        era = host.store.era();
+        let renewal = match lease.filter(|_| !is_restored) {
             Some(id) => {
                 host.store.renew_lease(id, host.settings.call_timeout).await.map(
                     |reply| match reply {
@@ -215,14 +219,20 @@
     // If another host led the previous term, its orders must be over before this host's first
     // order.
     let former = term.as_ref().map(|term| term.value.clone());
-    let is_first = former.is_none();
-    let is_same_host = former.as_ref().is_none_or(|former| *former == own_host.as_str().as_bytes());
+    // A restored store may lack the latest terms.
+    let has_heard_leader = host.dispatcher.borrow().last_leader().0 > 0;
+    let is_first = former.is_none() && !has_heard_leader;
+    let term_value = term_value(&own_host, host.store.era());
+    let is_same_host = match &former {
+        Some(former) => *former == term_value,
+        None => is_first,
+    };
     let term_revision = term.map_or(Revision(0), |term| term.revision);
     let txn = StoreTxn::default()
         .expect(LEADER_KEY, expected)
         .expect(TERM_KEY, term_revision)
         .put_leased(LEADER_KEY, value.clone(), lease)
-        .put(TERM_KEY, own_host.as_str().as_bytes().to_vec());
+        .put(TERM_KEY, term_value);
     let fence = match host.store.commit(&txn).await {
         Ok(TxnReply::Done(revision)) => revision,
         Ok(reply) => {
@@ -266,6 +276,15 @@
     Some(lease)
 }
 
+/// Returns the value of the term key. Terms of an earlier era may have been undone, so that the host of
+/// the latest one isn't known.
+fn term_value(host: &base::Name, era: StoreEra) -> Vec<u8> {
+    match era {
+        StoreEra(0) => host.to_string().into_bytes(),
+        StoreEra(era) => format!("{host} {era}").into_bytes(),
+    }
+}
+
 /// Ends this daemon's term and revokes its lease, so that the next leader need not wait for it to
 /// expire.
 pub(crate) async fn end_term(host: &Host) {
--- a/crates/serve/src/evidence.rs
+++ b/crates/serve/src/evidence.rs
@@ -69,16 +69,19 @@
     host.evidence_changed.notify_one();
 }
 
-/// Applies all records of a snapshot of the store. If this host's record is missing, it is written
-/// again.
+/// Applies all records of a snapshot of the store. If this host's record is missing or an older one, as
+/// in a restored store, it is written again.
 pub(crate) fn apply_records<'a>(host: &Host, records: impl Iterator<Item = (&'a str, &'a [u8])>) {
     let own_key = format!("{EVIDENCE_PREFIX}{}", host.settings.host);
-    let mut has_own = false;
+    let mut own_crashes = 0;
     for (key, value) in records {
-        has_own |= key == own_key;
+        if key == own_key {
+            own_crashes = parse_record(key, value).map_or(0, |(_, _, own)| own.crashes.len());
+        }
         apply_record(host, key, value, true);
     }
-    if !has_own {
+    let known_crashes = host.dispatcher.borrow().ledger().own_evidence().1.crashes.len();
+    if own_crashes < known_crashes {
         host.dispatcher.borrow_mut().ledger_mut().mark_lost(boot_time());
         host.evidence_changed.notify_one();
     }
@@ -149,7 +152,7 @@
                 .with("crashes", evidence.crashes.len())
                 .with("answered", evidence.answered.len())
                 .with("bytes", bytes)
-                .with("revision", revision.0)
+                .with("revision", revision.number())
                 .info();
             Ok(Some(lease))
         }
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -116,7 +116,10 @@
         let host = self.host.clone();
         let (items, revision) = host.store.range_all(ALL_PREFIX).await?;
         let now = boot_time();
-        let grace = self.had_outage(now).then(|| host.dispatcher.borrow().return_grace());
+        let is_restored = self.revision.0 > 0 && revision.era() > self.revision.era();
+        // A restored store lacks the targets that were added since its copy, until they write again.
+        let has_grace = is_restored || self.had_outage(now);
+        let grace = has_grace.then(|| host.dispatcher.borrow().return_grace());
         if let Some(grace) = grace {
             self.grace_until = now + grace;
         }
@@ -145,7 +148,8 @@
         host.leader_changed.notify_one();
         self.record_contact();
         LogLine::new("listed")
-            .with("revision", self.revision.0)
+            .with("revision", self.revision.number())
+            .with("era", self.revision.era().0)
             .with("targets", with_prefix(TARGET_PREFIX).count())
             .with("after_outage", grace.is_some())
             .info();
@@ -166,7 +170,10 @@
             self.is_relayed = until.is_some();
             self.is_behind = !self.is_relayed;
             let source = if self.is_relayed { "leader" } else { "store" };
-            LogLine::new("follows").with("source", source).with("revision", self.revision.0).info();
+            LogLine::new("follows")
+                .with("source", source)
+                .with("revision", self.revision.number())
+                .info();
         }
         until
     }
@@ -279,7 +286,7 @@
         let (events, revision) = match reply {
             WatchReply::Changes(events, revision) => (events, revision),
             WatchReply::Compacted => {
-                LogLine::new("history_gone").with("revision", self.revision.0).info();
+                LogLine::new("history_gone").with("revision", self.revision.number()).info();
                 self.plan.discard_snapshot();
                 return Ok(());
             }
@@ -312,8 +319,8 @@
         if known > 0 {
             LogLine::new("changes_known")
                 .with("changes", known)
-                .with("until", until.0)
-                .with("revision", applied.0)
+                .with("until", until.number())
+                .with("revision", applied.number())
                 .info();
         }
         for change in changes.into_iter().filter(|change| change.revision() > applied) {
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{Revision, Time};
+use base::{Revision, StoreEra, Time};
 use bytes::Bytes;
 use daemon::boot_time;
-use node::{KeyValue, LeaseId, StoreTxn};
+use node::{KeyEvent, KeyValue, LeaseId, StoreTxn};
 use platform::store::{self, RangePage, RenewalReply, TxnReply, WatchReply};
 use platform::{FormatError, HttpCall};
 
@@ -31,19 +31,38 @@
     /// The call may have been sent, but no answer arrived.
     #[error("no answer")]
     Lost,
+    /// The answer is from an earlier era of the store, so what it says is undone.
+    #[error("answer of an earlier era")]
+    Outdated,
     /// The answer has an unexpected form or status.
     #[error(transparent)]
     Form(#[from] FormatError),
 }
 
+/// Era, status and body of an answer.
+type Answer = (StoreEra, u16, Bytes);
+
+fn value_in_era(era: StoreEra, item: KeyValue) -> KeyValue {
+    KeyValue { revision: Revision::in_era(era, item.revision.0), ..item }
+}
+
+fn event_in_era(era: StoreEra, event: KeyEvent) -> KeyEvent {
+    match event {
+        KeyEvent::Put(item) => KeyEvent::Put(value_in_era(era, item)),
+        KeyEvent::Deleted(key, revision) => {
+            KeyEvent::Deleted(key, Revision::in_era(era, revision.0))
+        }
+    }
+}
+
 /// The daemon's only client of the store.
 pub(crate) struct StoreClient {
     address: SocketAddr,
     timeout: Duration,
     pool: RefCell<ConnPool>,
     calls: Cell<u64>,
-    /// Era of the store, by its latest answer; `None` before the first one.
-    era: Cell<Option<u64>>,
+    /// Latest era of the store that an answer named; `None` before the first answer.
+    era: Cell<Option<StoreEra>>,
 }
 
 impl StoreClient {
@@ -62,13 +81,20 @@
         self.calls.get()
     }
 
-    pub(crate) async fn range(
-        &self,
-        prefix: &str,
-        after: Option<&str>,
-    ) -> Result<RangePage, StoreError> {
-        let (status, body) = self.call(&store::range_call(prefix, after), self.timeout).await?;
-        Ok(store::range_reply(status, &body)?)
+    /// Returns the store's era, as far as known.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era.get().unwrap_or_default()
+    }
+
+    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<RangePage, StoreError> {
+        let call = store::range_call(prefix, after);
+        let (era, status, body) = self.call(&call, self.timeout).await?;
+        let page = store::range_reply(status, &body)?;
+        Ok(RangePage {
+            items: page.items.into_iter().map(|item| value_in_era(era, item)).collect(),
+            revision: Revision::in_era(era, page.revision.0),
+            ..page
+        })
     }
 
     /// Reads all pages of a prefix. Returns the revision of the first page: the caller watches from
@@ -83,6 +109,9 @@
         while has_more_pages {
             let after = items.last().map(|item| item.key.clone());
             let page = self.range(prefix, after.as_deref()).await?;
+            if page.revision.era() != revision.era() {
+                return Err(StoreError::Outdated);
+            }
             has_more_pages = page.has_more && !page.items.is_empty();
             items.extend(page.items);
         }
@@ -97,25 +126,43 @@
     ) -> Result<WatchReply, StoreError> {
         let call = store::watch_call(prefix, after, wait);
         let limit = (wait + WATCH_SLACK).max(self.timeout);
-        let (status, body) = self.call(&call, limit).await?;
-        Ok(store::watch_reply(status, &body)?)
+        let (era, status, body) = self.call(&call, limit).await?;
+        match store::watch_reply(status, &body)? {
+            // The changes since another revision with the same number.
+            WatchReply::Changes(..) if after.era() != era => Ok(WatchReply::Compacted),
+            WatchReply::Changes(events, revision) => {
+                let events = events.into_iter().map(|event| event_in_era(era, event));
+                Ok(WatchReply::Changes(events.collect(), Revision::in_era(era, revision.0)))
+            }
+            WatchReply::Compacted => Ok(WatchReply::Compacted),
+        }
     }
 
     pub(crate) async fn read_key(&self, key: &str) -> Result<Option<KeyValue>, StoreError> {
-        let (status, body) = self.call(&store::key_call(key), self.timeout).await?;
-        Ok(store::key_reply(status, &body)?)
+        let (era, status, body) = self.call(&store::key_call(key), self.timeout).await?;
+        let item = store::key_reply(status, &body)?;
+        Ok(item.map(|item| value_in_era(era, item)))
     }
 
+    /// Runs a transaction. One that compares with revisions of an earlier era conflicts: the store may
+    /// have given out the same numbers again.
     pub(crate) async fn commit(&self, txn: &StoreTxn) -> Result<TxnReply, StoreError> {
-        let (status, body) = self.call(&store::txn_call(txn), self.timeout).await?;
-        Ok(store::txn_reply(status, &body)?)
+        let is_outdated = |revision: Revision| revision.0 > 0 && revision.era() != self.era();
+        if txn.compares.iter().any(|compare| is_outdated(compare.revision)) {
+            return Ok(TxnReply::Conflict);
+        }
+        let (era, status, body) = self.call(&store::txn_call(txn), self.timeout).await?;
+        Ok(match store::txn_reply(status, &body)? {
+            TxnReply::Done(revision) => TxnReply::Done(Revision::in_era(era, revision.0)),
+            reply => reply,
+        })
     }
 
     pub(crate) async fn grant_lease(
         &self,
         span: Duration,
     ) -> Result<(LeaseId, Duration), StoreError> {
-        let (status, body) = self.call(&store::lease_call(span), self.timeout).await?;
+        let (_, status, body) = self.call(&store::lease_call(span), self.timeout).await?;
         Ok(store::lease_reply(status, &body)?)
     }
 
@@ -127,23 +174,29 @@
         limit: Duration,
     ) -> Result<RenewalReply, StoreError> {
         let limit = limit.min(self.timeout);
-        let (status, body) = self.call(&store::renew_call(lease), limit).await?;
+        let (_, status, body) = self.call(&store::renew_call(lease), limit).await?;
         Ok(store::renew_reply(status, &body)?)
     }
 
     pub(crate) async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let (status, _) = self.call(&store::revoke_call(lease), self.timeout).await?;
+        let (_, status, _) = self.call(&store::revoke_call(lease), self.timeout).await?;
         Ok(store::revoke_reply(status)?)
     }
 
-    fn record_era(&self, era: u64) {
-        let known = self.era.replace(Some(era));
-        if known.is_some_and(|known| known != era) {
-            LogLine::new("store_era").with("era", era).with("former", known).info();
+    /// Records the era of an answer.
+    fn record_era(&self, era: StoreEra) -> Result<(), StoreError> {
+        let known = self.era.get();
+        if known.is_some_and(|known| era < known) {
+            return Err(StoreError::Outdated);
+        }
+        self.era.set(Some(era));
+        if let Some(former) = known.filter(|known| *known != era) {
+            LogLine::new("store_era").with("era", era.0).with("former", former.0).warn();
         }
+        Ok(())
     }
 
-    async fn call(&self, call: &HttpCall, limit: Duration) -> Result<(u16, Bytes), StoreError> {
+    async fn call(&self, call: &HttpCall, limit: Duration) -> Result<Answer, StoreError> {
         self.calls.set(self.calls.get() + 1);
         let now: Time = boot_time();
         let pooled = self.pool.borrow_mut().take(now, self.address, MAX_IDLE_TIME);
@@ -157,8 +210,9 @@
         match answer {
             Ok(Ok(answer)) => {
                 self.pool.borrow_mut().put(boot_time(), self.address, conn);
-                self.record_era(store::read_era(answer.headers())?);
-                Ok((answer.status().as_u16(), answer.into_body()))
+                let era = store::read_era(answer.headers())?;
+                self.record_era(era)?;
+                Ok((era, answer.status().as_u16(), answer.into_body()))
             }
             Ok(Err(ConnError::NotSent)) => Err(StoreError::NotSent),
             Ok(Err(ConnError::Lost)) => Err(StoreError::Lost),
