Don't take a removed target's old entry for a new one

Callers saw: after the store had returned from an older copy, requests went to a server that had left.

Cause: entries are ordered by start and number only while the target is known. A removed one was forgotten, so that the copy's entry was a new target's. Evidence: old_targets (7 requests in 1.5 s to the server that had left).

Fix: for 60 s after a target was removed, an entry of the same start with a number that is not greater is ignored; a later start or a newer entry is taken. An entry that couldn't be read doesn't count as a removal.

--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -29,6 +29,9 @@
 const DOMAIN_SILENCE: Duration = Duration::from_millis(400);
 /// Weight of one outcome in a target's failure share.
 const FAILURE_WEIGHT: f64 = 0.15;
+/// How long the entry of a removed target isn't taken for a new one. A store that returns from an older
+/// copy still lists the target, until it expires there.
+const REMOVED_SPAN: Duration = Duration::from_secs(60);
 /// Maximum number of departed targets that are remembered.
 const MAX_DEPARTED: usize = 4_096;
 /// Interval of probes. A target that asked for a pause gets one request per interval until it has
@@ -295,6 +298,9 @@
     /// Targets that announced their departure, with the time of their start in milliseconds and
     /// when the departure was learnt.
     departed: SortedMap<TargetName, (u64, Time)>,
+    /// The last known entry of targets that were removed: the time of their start, its number, and when
+    /// they were removed.
+    removed: SortedMap<TargetName, (u64, u64, Time)>,
     /// Limits that targets have named.
     limits: LimitTable,
     /// When the leader last reported other daemons' requests.
@@ -317,6 +323,9 @@
             entry.phase = TargetPhase::Leaving { left: None };
         }
         let Some(state) = self.targets.get_mut(&entry.name) else {
+            if self.was_removed(now, &entry) {
+                return false;
+            }
             self.targets.insert(entry.name.clone(), TargetState::new(now, entry));
             return true;
         };
@@ -341,12 +350,32 @@
         changed
     }
 
-    /// Removes a target that is gone or no longer names a usable server. Returns whether it was
-    /// known.
-    pub fn remove_target(&mut self, name: &TargetName) -> bool {
+    /// Removes a target whose entry no longer names a usable server. Returns whether it was known.
+    pub fn forget_target(&mut self, name: &TargetName) -> bool {
         self.targets.remove(name).is_some()
     }
 
+    /// Removes a target that is gone. The entry that it had is not taken for a new one. Returns whether
+    /// the target was known.
+    pub fn remove_target(&mut self, now: Time, name: &TargetName) -> bool {
+        let state = self.targets.remove(name);
+        state.as_ref().inspect(|state| self.record_removal(now, &state.entry)).is_some()
+    }
+
+    fn record_removal(&mut self, now: Time, entry: &TargetEntry) {
+        self.removed.retain(|_, (_, _, at)| now.since(*at) < REMOVED_SPAN);
+        if self.removed.len() < MAX_DEPARTED {
+            self.removed.insert(entry.name.clone(), (entry.born_ms, entry.beat, now));
+        }
+    }
+
+    /// Returns whether an entry of an unknown target is one that it had before it was removed.
+    fn was_removed(&self, now: Time, entry: &TargetEntry) -> bool {
+        self.removed.get(&entry.name).is_some_and(|(born_ms, beat, at)| {
+            now.since(*at) < REMOVED_SPAN && (entry.born_ms, entry.beat) <= (*born_ms, *beat)
+        })
+    }
+
     /// Replaces the whole list. If `grace` is given, the store was unavailable before the list was
     /// read, and targets that are missing from it count as present for that long.
     pub fn replace_entries(
@@ -358,7 +387,12 @@
         let names: SortedMap<TargetName, ()> =
             entries.iter().map(|entry| (entry.name.clone(), ())).collect();
         match grace {
-            None => self.targets.retain(|name, _| names.contains(name)),
+            None => {
+                let missing = self.targets.keys().filter(|name| !names.contains(name));
+                for name in missing.cloned().collect::<Vec<_>>() {
+                    self.remove_target(now, &name);
+                }
+            }
             Some(grace) => {
                 for (name, state) in self.targets.iter_mut() {
                     if !names.contains(name) {
@@ -389,7 +423,9 @@
             .filter(|(_, state)| expired(state))
             .map(|(name, _)| name.clone())
             .collect();
-        self.targets.retain(|_, state| !expired(state));
+        for name in &gone {
+            self.remove_target(now, name);
+        }
         gone
     }
 
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -381,6 +381,7 @@
             KeyEvent::Put(item) => parse_entry(item),
             KeyEvent::Deleted(..) => None,
         };
+        let is_deleted = matches!(event, KeyEvent::Deleted(..));
         let mut dispatcher = self.host.dispatcher.borrow_mut();
         match (entry, event) {
             (Some(entry), _) => {
@@ -408,7 +409,10 @@
                     self.host.report_conn_pool.borrow_mut().remove_all(address);
                 }
                 LogLine::new("target_gone").text("target", &name).info();
-                dispatcher.targets_mut().remove_target(&name)
+                match is_deleted {
+                    true => dispatcher.targets_mut().remove_target(now, &name),
+                    false => dispatcher.targets_mut().forget_target(&name),
+                }
             }
         }
     }
