--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -146,8 +146,8 @@
         self.sends.set(to_gauge(readings.sends));
         self.repeats.set(to_gauge(readings.repeats));
         self.limited_sends.set(to_gauge(readings.limited_sends));
-        self.limited_targets.set(i64::try_from(readings.limited_targets).unwrap_or(i64::MAX));
         let to_count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.limited_targets.set(to_count(readings.limited_targets));
         self.suspected_crashes.set(to_count(readings.suspected_crashes));
         self.condemned_parts.set(to_count(readings.condemned_parts));
         self.open_requests.set(i64::try_from(readings.open_requests).unwrap_or(i64::MAX));
--- a/crates/suspect/src/answered.rs
+++ b/crates/suspect/src/answered.rs
@@ -1,4 +1,4 @@
-//! The prompt parts that targets have answered lately.
+//! The prompt parts that targets have answered recently.
 
 use std::time::Duration;
 
