Log the digest of each request and what a lost answer says of its target

The logs couldn't tell a request that comes again from different requests with a common part, and lost answers of plain services left no line. `admitted` and refusals at admission now name a digest of method, path with query, body and team; `crash_suspect`, `crash_excluded` and `crash_unchecked` say for each lost answer whether the target had crashed. No decision changes.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -13,7 +13,7 @@
 use fleet::{FleetLayout, LayoutVersion, ModelRef, TargetDeparture, TargetLoad, TargetPhase};
 
 use limit::{LimitNotice, PERMIT_VALIDITY};
-use suspect::{CrashId, CrashLedger, PartId, SuspectRequest};
+use suspect::{CrashId, CrashLedger, PartId, RequestDigest, SuspectRequest};
 
 use crate::budget::TeamBudget;
 use crate::choice::TargetChooser;
@@ -342,6 +342,13 @@
         Ok(self.last_request)
     }
 
+    /// Returns the identity of a request that arrives, by the teams of the layout in force.
+    pub fn digest_of(&self, arrival: &Arrival) -> RequestDigest {
+        let team = self.layout.as_ref().zip(arrival.key.as_ref());
+        let team = team.and_then(|(layout, key)| layout.team_of(key));
+        RequestDigest::new(&arrival.content, team.map(|team| &team.name))
+    }
+
     /// Returns the route of a request.
     pub fn route_of(&self, id: u64) -> Option<&fleet::RouteEntry> {
         self.requests.get(&id).map(|request| &request.route)
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -6,7 +6,7 @@
 use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
 use fleet::{LayoutVersion, ModelRef, PermitRequest, PromptPart, RouteEntry, TargetLoad};
 use limit::{PermitDenial, PermitUse};
-use suspect::SuspectRequest;
+use suspect::{ContentDigest, SuspectRequest};
 
 use crate::record::PromptChain;
 
@@ -27,6 +27,8 @@
     pub tokens: Option<(TokenCount, TokenCount)>,
     /// Parts of the prompt.
     pub parts: Vec<PromptPart>,
+    /// Digest of the method, path, query and body.
+    pub content: ContentDigest,
     /// Uniformly distributed number, the same for every daemon that gets the request.
     pub draw: u64,
 }
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, Response};
 use limit::RequestRate;
 use platform::request::read_head;
+use suspect::{ContentDigest, RequestDigest};
 
 use crate::answer::{
     build_answer, full_body, refusal_answer, refusal_for_code, with_close, CompleteAnswer,
@@ -53,6 +54,8 @@
 struct RequestGuard {
     host: Rc<Host>,
     id: u64,
+    /// Identity of the request, for the log.
+    digest: RequestDigest,
     /// Identity of the client's attempt, for the log.
     attempt_id: String,
     received_at: Time,
@@ -77,13 +80,17 @@
             return end;
         }
         let address = self.host.dispatcher.borrow().suspect_address(boot_time(), self.id);
-        let Some(address) = address else { return end };
+        let Some(address) = address else {
+            self.log_line("crash_unchecked").text("digest", &self.digest).info();
+            return end;
+        };
         if !is_refused(address, CRASH_CHECK_TIMEOUT).await {
+            self.log_line("crash_excluded").text("digest", &self.digest).info();
             return end;
         }
         let mut dispatcher = self.host.dispatcher.borrow_mut();
         let Some(crash) = dispatcher.record_crash(boot_time(), self.id) else { return end };
-        self.log_line("crash_suspect").text("crash", &crash).info();
+        self.log_line("crash_suspect").text("crash", &crash).text("digest", &self.digest).info();
         drop(dispatcher);
         self.host.evidence_changed.notify_one();
         AttemptEnd::Crashed
@@ -189,6 +196,7 @@
     let mut hasher = DefaultHasher::new();
     attempt_id.hash(&mut hasher);
     wait_for_layout(&host, received_at + MAX_LAYOUT_WAIT.min(body_timeout)).await;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let arrival = Arrival {
         host: host_name(&head),
         path: head.uri.path().to_owned(),
@@ -199,8 +207,10 @@
         model: request_head.model,
         tokens: request_head.tokens,
         parts: request_head.parts,
+        content: ContentDigest::new(head.method.as_str(), path, &body),
         draw: hasher.finish(),
     };
+    let digest = host.dispatcher.borrow().digest_of(&arrival);
     let admitted = host.dispatcher.borrow_mut().admit(boot_time(), &arrival);
     let id = match admitted {
         Ok(id) => id,
@@ -210,6 +220,7 @@
                 .with("code", refused.code.number())
                 .with("reason", refused.reason)
                 .with("path", arrival.path)
+                .text("digest", &digest)
                 .with("parts", shared_parts(&arrival.parts))
                 .with("layout", host.dispatcher.borrow().version().0)
                 .info();
@@ -217,7 +228,6 @@
             return refusal_answer(refused, request_head.attempt.as_ref());
         }
     };
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     // Parsing can't fail: the path comes from a request that hyper has parsed.
     let uri = path.parse().unwrap_or_default();
     let is_stream =
@@ -233,6 +243,7 @@
     let guard = RequestGuard {
         host: host.clone(),
         id,
+        digest,
         attempt_id,
         received_at,
         first_event_at: None,
@@ -249,6 +260,7 @@
         .with("team", team)
         .with("cost", cost)
         .with("model", arrival.model.map(|model| model.to_string()).unwrap_or_default())
+        .text("digest", &digest)
         .with("parts", parts)
         .with("layout", host.dispatcher.borrow().version().0)
         .info();
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -43,11 +43,13 @@
 
 mod answered;
 mod crash;
+mod digest;
 mod evidence;
 mod ledger;
 mod verdict;
 
 pub use crash::{CrashId, PartId, SuspectRequest, MAX_PARTS};
+pub use digest::{ContentDigest, RequestDigest};
 pub use evidence::{CrashReport, EvidenceWire, HostEvidence};
 pub use ledger::{CrashLedger, EVIDENCE_SPAN};
 pub use verdict::{PartVerdict, MIN_CRASHES};
