Shut out a request that crashes targets when it comes again

Cause: a request had no identity. Its repeats looked like independent crashes of the parts it holds, and requests of plain services, without parts, never were evidence. The class is evidence that isn't connected by what its sources have in common.

The ledger now weighs causes of both kinds, requests and parts, in one record and one order of verdicts. A request is its digest of method, path with query, body and team. Lost copies of it count against it; one answer, at any daemon, clears it, also after the verdict. It is condemned for three lost copies in two crashes of which the second copy was sent after the first crash (three, if it was ever answered). Together its crashes count once against its parts, and nothing they end counts against those beside it. A condemned request gets code 1307 (400) at admission, before allowance, retry budget and queue. While a request is suspected a daemon sends one copy at a time, and a plain request that crashed its target isn't sent to a second one.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -85,6 +85,8 @@
     QueueFull = 1305, 503, no, "too many requests are waiting at this host";
     /// A part of the prompt has crashed the targets that began to answer it.
     PartCondemned = 1306, 400, no, "a part of the prompt has crashed the targets that began to answer it";
+    /// The same request has crashed the targets that began to run it.
+    RequestCondemned = 1307, 400, no, "the same request has crashed the targets that began to run it";
     /// The request is malformed.
     BadRequest = 1401, 400, no, "the request is malformed";
     /// The request is larger than allowed.
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -13,7 +13,9 @@
 use fleet::{FleetLayout, LayoutVersion, ModelRef, TargetDeparture, TargetLoad, TargetPhase};
 
 use limit::{LimitNotice, PERMIT_VALIDITY};
-use suspect::{CrashId, CrashLedger, PartId, RequestDigest, SuspectRequest};
+use suspect::{
+    CrashId, CrashLedger, CrashVerdict, PartId, RequestDigest, SuspectRequest, UnixMillis,
+};
 
 use crate::budget::TeamBudget;
 use crate::choice::TargetChooser;
@@ -45,8 +47,6 @@
 /// Jitter of a target's pause. Each daemon extends the pause by a random part of this fraction, so
 /// that they don't all return at once.
 const PAUSE_JITTER: f64 = 0.25;
-/// Reason of a refusal because of a condemned prompt part.
-const CONDEMNED: &str = "condemned prompt part";
 /// A request whose first event arrived at most this long before its target crashed may be the one that
 /// crashed it.
 const BEGUN_SPAN: Duration = Duration::from_millis(50);
@@ -276,10 +276,12 @@
             .ok_or_else(|| Refusal::new(ResultCode::NotFound, "no service"))?;
         let suspect = SuspectRequest::new(
             team.map(|team| team.name.clone()),
+            RequestDigest::new(&arrival.content, team.map(|team| &team.name)),
             arrival.parts.iter().map(|part| PartId(part.id)),
         );
-        if self.ledger.condemns(now, &suspect).is_some() {
-            return Err(Refusal::new(ResultCode::PartCondemned, CONDEMNED));
+        if let Some(verdict) = self.ledger.condemns(now, &suspect) {
+            let (code, reason) = condemned_code(verdict);
+            return Err(Refusal::new(code, reason));
         }
         let tokens = arrival.tokens.map(|(prompt, output)| prompt.0 + output.0);
         let cost = team.and_then(|team| team.allowance).map_or(0.0, |allowance| {
@@ -456,12 +458,11 @@
         }
         if let Some((took, estimate)) = self.targets.record_first_event(now, target, id) {
             // Draws only where the delay matters, so that choices of targets don't depend on it.
-            let is_suspected = |part: &PartId| self.ledger.is_suspected(*part);
-            let delay = match request.suspect.parts.iter().any(is_suspected) {
+            let delay = match self.ledger.is_suspected(&request.suspect) {
                 true => CrashLedger::answers_delay(self.daemons, self.chooser.random_fraction()),
                 false => Duration::ZERO,
             };
-            self.ledger.record_answer(now, &request.suspect.parts, delay);
+            self.ledger.record_answer(now, &request.suspect, delay);
             match &request.model {
                 Some(subject) => self.chooser.learn_factor(&subject.model, took, estimate),
                 None => self.chooser.learn_work(&request.service, took),
@@ -473,9 +474,6 @@
     /// the target has crashed: its answer has not begun, or only just.
     pub fn suspect_address(&self, now: Time, id: u64) -> Option<SocketAddr> {
         let (target, progress) = self.running_on(id)?;
-        if self.requests.get(&id)?.suspect.parts.is_empty() {
-            return None;
-        }
         let has_begun = match progress {
             AnswerProgress::Events(at) => now.since(at) > BEGUN_SPAN,
             AnswerProgress::Pending | AnswerProgress::Head(_) => false,
@@ -487,13 +485,16 @@
     }
 
     /// Records that the target crashed which a request runs on, and that the request is suspected.
-    pub fn record_crash(&mut self, now: Time, id: u64) -> Option<CrashId> {
+    /// `time_of_day` is the present time.
+    pub fn record_crash(&mut self, now: Time, time_of_day: UnixMillis, id: u64) -> Option<CrashId> {
         let target = self.running_on(id)?.0;
         let born_ms = self.targets.entry(target)?.born_ms;
+        let sent_at = time_of_day.before(now.since(self.targets.sent_at(target, id)?));
         let crash = CrashId { target: target.clone(), born_ms };
         let request = self.requests.get_mut(&id)?;
         request.is_cleared = self.ledger.may_resend(now, &crash, &request.suspect);
-        self.ledger.record_crash(now, &crash, request.suspect.clone());
+        let suspect = request.suspect.clone();
+        self.ledger.record_crash(now, &crash, time_of_day, suspect, sent_at);
         Some(crash)
     }
 
@@ -599,6 +600,14 @@
     }
 }
 
+/// Returns the code and the reason of a refusal because of a verdict.
+fn condemned_code(verdict: &CrashVerdict) -> (ResultCode, &'static str) {
+    match verdict.request() {
+        Some(_) => (ResultCode::RequestCondemned, "condemned request"),
+        None => (ResultCode::PartCondemned, "condemned prompt part"),
+    }
+}
+
 /// Returns how long a client waits for an answer to begin.
 fn first_patience(route: &fleet::RouteEntry) -> Duration {
     if !route.kind.is_stream() {
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -6,7 +6,7 @@
 use fleet::{ModelRef, PermitRequest};
 use limit::PermitUse;
 
-use super::{RequestDispatcher, CONDEMNED, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
+use super::{condemned_code, RequestDispatcher, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::budget::{ChargeResult, RequestCharge};
 use crate::choice::Choice;
 use crate::request::{Dispatch, OpenRequest, Refusal, RequestStage, Step};
@@ -34,6 +34,10 @@
 const LOAD_SLACK: Duration = Duration::from_millis(250);
 /// Pause before checking again whether a paused target has answered its probe.
 const PROBE_PAUSE: Duration = Duration::from_millis(50);
+/// How long a copy of a suspected request may run before the next one is sent, and the pause before
+/// looking at it again.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
+const TRIAL_PAUSE: Duration = Duration::from_millis(25);
 /// Silence after which the leader has probably lost its host or its connections.
 const LEADER_LOSS: Duration = Duration::from_millis(1_300);
 
@@ -62,8 +66,9 @@
         let Some(request) = self.requests.get(&id) else {
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
-        if self.ledger.condemns(now, &request.suspect).is_some() {
-            let refusal = request.to_refusal(ResultCode::PartCondemned, Duration::ZERO, CONDEMNED);
+        if let Some(verdict) = self.ledger.condemns(now, &request.suspect) {
+            let (code, reason) = condemned_code(verdict);
+            let refusal = request.to_refusal(code, Duration::ZERO, reason);
             // The request must not come again.
             return Step::Refuse(Refusal { retry_after: None, ..refusal });
         }
@@ -71,6 +76,9 @@
             let reason = "waited too long";
             return Step::Refuse(request.to_refusal(ResultCode::NoCapacity, RETRY_AFTER, reason));
         }
+        if self.awaits_trial(now, id, request) {
+            return Step::Wait((now + TRIAL_PAUSE).min(request.deadline));
+        }
         if !request.is_charged {
             if let Some(step) = self.charge_team(now, id) {
                 return step;
@@ -85,6 +93,20 @@
         }
     }
 
+    /// Returns whether a request that is suspected of a crash should wait for the end of another copy that
+    /// runs: if that crashes its target too, the next one shouldn't.
+    fn awaits_trial(&self, now: Time, id: u64, request: &OpenRequest) -> bool {
+        let digest = request.suspect.digest;
+        let is_on_trial = |(other, copy): (&u64, &OpenRequest)| match &copy.stage {
+            RequestStage::Running(target) if *other != id && copy.suspect.digest == digest => {
+                let sent_at = self.targets.sent_at(target, *other);
+                sent_at.is_some_and(|at| now.since(at) < TRIAL_PATIENCE)
+            }
+            _ => false,
+        };
+        self.ledger.is_suspect(&request.suspect) && self.requests.iter().any(is_on_trial)
+    }
+
     /// Returns whether a request's key still belongs to its team in the layout in force.
     fn check_key(&mut self, id: u64) -> bool {
         let Some((layout, request)) = self.layout.as_ref().zip(self.requests.get_mut(&id)) else {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -207,7 +207,7 @@
     pub(crate) draw: u64,
     pub(crate) model: Option<ModelRef>,
     pub(crate) chain: PromptChain,
-    /// Team and shared prompt parts, which may be suspected when a target crashes.
+    /// Identity and shared prompt parts, which may be suspected when a target crashes.
     pub(crate) suspect: SuspectRequest,
     /// Whether another target may be tried after the last one crashed.
     pub(crate) is_cleared: bool,
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -697,6 +697,12 @@
         }
     }
 
+    /// Returns when a request that runs on a target was sent there.
+    pub(crate) fn sent_at(&self, name: &TargetName, request: u64) -> Option<Time> {
+        let runs = &self.targets.get(name)?.runs;
+        runs.iter().find(|run| run.request == request).map(|run| run.since)
+    }
+
     /// Records that the head of a request's answer has arrived.
     pub(crate) fn record_head(&mut self, now: Time, name: &TargetName, request: u64) {
         let state = self.targets.get_mut(name);
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -8,7 +8,7 @@
 
 use base::{ResultCode, Time};
 use bytes::Bytes;
-use daemon::boot_time;
+use daemon::{boot_time, wall_ms};
 use fleet::PromptPart;
 use front::{Arrival, AttemptEnd, NextAction, Refusal, Step};
 use futures::StreamExt;
@@ -18,7 +18,7 @@
 use hyper::{Request, Response};
 use limit::RequestRate;
 use platform::request::read_head;
-use suspect::{ContentDigest, RequestDigest};
+use suspect::{ContentDigest, RequestDigest, UnixMillis};
 
 use crate::answer::{
     build_answer, full_body, refusal_answer, refusal_for_code, with_close, CompleteAnswer,
@@ -89,7 +89,10 @@
             return end;
         }
         let mut dispatcher = self.host.dispatcher.borrow_mut();
-        let Some(crash) = dispatcher.record_crash(boot_time(), self.id) else { return end };
+        let Some(crash) = dispatcher.record_crash(boot_time(), UnixMillis(wall_ms()), self.id)
+        else {
+            return end;
+        };
         self.log_line("crash_suspect").text("crash", &crash).text("digest", &self.digest).info();
         drop(dispatcher);
         self.host.evidence_changed.notify_one();
--- a/crates/serve/src/evidence.rs
+++ b/crates/serve/src/evidence.rs
@@ -11,7 +11,7 @@
 use node::{LeaseId, StoreTxn};
 use platform::store::TxnReply;
 use serde::{Deserialize, Serialize};
-use suspect::{EvidenceWire, HostEvidence, PartVerdict, EVIDENCE_SPAN};
+use suspect::{CrashVerdict, EvidenceWire, HostEvidence, EVIDENCE_SPAN};
 
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
@@ -182,24 +182,26 @@
 }
 
 /// Logs the verdicts that were reached or ended since `known`, and returns the present ones.
-fn log_verdicts(host: &Host, known: Vec<PartVerdict>) -> Vec<PartVerdict> {
+fn log_verdicts(host: &Host, known: Vec<CrashVerdict>) -> Vec<CrashVerdict> {
     let verdicts = host.dispatcher.borrow().ledger().verdicts().to_vec();
-    let log = |event, verdict: &PartVerdict| {
+    let log = |(request_event, part_event), verdict: &CrashVerdict| {
         let teams = verdict.teams.iter().flatten().map(ToString::to_string);
-        LogLine::new(event)
-            .with("parts", join(verdict.parts.iter()))
-            .with("teams", teams.collect::<Vec<_>>().join(","))
+        let line = match verdict.request() {
+            Some(digest) => LogLine::new(request_event).text("digest", &digest),
+            None => LogLine::new(part_event).with("parts", join(verdict.causes.iter())),
+        };
+        line.with("teams", teams.collect::<Vec<_>>().join(","))
             .with("crashes", join(verdict.crashes.iter()))
             .info();
     };
     for verdict in verdicts.iter().filter(|verdict| !known.contains(verdict)) {
-        log("part_condemned", verdict);
+        log(("request_condemned", "part_condemned"), verdict);
     }
-    let has_parts = |list: &[PartVerdict], parts: &PartVerdict| {
-        list.iter().any(|verdict| verdict.parts == parts.parts)
+    let has_causes = |list: &[CrashVerdict], verdict: &CrashVerdict| {
+        list.iter().any(|other| other.causes == verdict.causes)
     };
-    for verdict in known.iter().filter(|verdict| !has_parts(&verdicts, verdict)) {
-        log("part_acquitted", verdict);
+    for verdict in known.iter().filter(|verdict| !has_causes(&verdicts, verdict)) {
+        log(("request_acquitted", "part_acquitted"), verdict);
     }
     if verdicts != known {
         host.state_changed.notify_waiters();
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -139,13 +139,18 @@
     pub(crate) fn metrics_text(&self) -> String {
         let dispatcher = self.dispatcher.borrow();
         let counts = dispatcher.counts();
+        let count_verdicts = |are_requests: bool| {
+            let verdicts = dispatcher.ledger().verdicts().iter();
+            verdicts.filter(|verdict| verdict.request().is_some() == are_requests).count()
+        };
         self.metrics.text(Readings {
             sends: counts.sends,
             repeats: counts.repeats,
             limited_sends: counts.limited_sends,
             limited_targets: dispatcher.targets().limits().targets().count(),
             suspected_crashes: dispatcher.ledger().suspected_crashes(),
-            condemned_parts: dispatcher.ledger().verdicts().len(),
+            condemned_requests: count_verdicts(true),
+            condemned_parts: count_verdicts(false),
             open_requests: dispatcher.open_count(),
             store_calls: self.store.call_count(),
             lines_dropped: self.dropped_lines.total(),
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -25,6 +25,7 @@
     limited_sends: Gauge<i64>,
     limited_targets: Gauge<i64>,
     suspected_crashes: Gauge<i64>,
+    condemned_requests: Gauge<i64>,
     condemned_parts: Gauge<i64>,
     open_requests: Gauge<i64>,
     store_calls: Gauge<i64>,
@@ -41,6 +42,7 @@
     pub(crate) limited_sends: u64,
     pub(crate) limited_targets: usize,
     pub(crate) suspected_crashes: usize,
+    pub(crate) condemned_requests: usize,
     pub(crate) condemned_parts: usize,
     pub(crate) open_requests: usize,
     pub(crate) store_calls: u64,
@@ -65,6 +67,7 @@
             limited_sends: Gauge::default(),
             limited_targets: Gauge::default(),
             suspected_crashes: Gauge::default(),
+            condemned_requests: Gauge::default(),
             condemned_parts: Gauge::default(),
             open_requests: Gauge::default(),
             store_calls: Gauge::default(),
@@ -100,9 +103,14 @@
         );
         registry.register(
             "suspected_crashes",
-            "Crashes of targets with suspected prompt parts",
+            "Crashes of targets with suspected requests",
             metrics.suspected_crashes.clone(),
         );
+        registry.register(
+            "condemned_requests",
+            "Requests that are refused because they crash targets",
+            metrics.condemned_requests.clone(),
+        );
         registry.register(
             "condemned_parts",
             "Sets of prompt parts that are refused",
@@ -149,6 +157,7 @@
         let to_count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         self.limited_targets.set(to_count(readings.limited_targets));
         self.suspected_crashes.set(to_count(readings.suspected_crashes));
+        self.condemned_requests.set(to_count(readings.condemned_requests));
         self.condemned_parts.set(to_count(readings.condemned_parts));
         self.open_requests.set(i64::try_from(readings.open_requests).unwrap_or(i64::MAX));
         self.store_calls.set(to_gauge(readings.store_calls));
--- a/crates/suspect/src/ledger.rs
+++ b/crates/suspect/src/ledger.rs
@@ -6,20 +6,20 @@
 
 use crate::answered::AnsweredTable;
 use crate::evidence::{CrashReport, HostEvidence};
-use crate::verdict::{count_crashes, max_answers, reach_verdicts, CrashCase, PartVerdict};
-use crate::{CrashId, PartId, SuspectRequest};
+use crate::verdict::{count_crashes, max_answers, reach_verdicts, CrashCase, CrashVerdict};
+use crate::{CrashCause, CrashId, RequestDigest, SuspectRequest, SuspectRun, UnixMillis};
 
 /// How long evidence counts after it was last used to refuse a request, or was received.
 pub const EVIDENCE_SPAN: Duration = Duration::from_secs(600);
 /// Number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
-/// Number of crashes that a host reports.
-const MAX_REPORTED: usize = 12;
+/// Number of crashes that a host reports, and of suspects in all of them together.
+const MAX_REPORTED: (usize, usize) = (24, 64);
 /// Number of requests that are suspected of one crash.
-const MAX_SUSPECTS: usize = 12;
-/// How long a host reports the answers that have cleared a part.
+const MAX_SUSPECTS: usize = 24;
+/// How long a host reports the answers that have cleared a request or a part.
 const ANSWERS_SPAN: Duration = Duration::from_secs(60);
-/// Number of parts of which a host reports answers.
+/// Number of requests and parts of which a host reports answers.
 const MAX_ANSWERED: usize = 64;
 /// Delay of a report that only has answers: the first value, plus up to the second for each daemon. One
 /// daemon's answers are often enough to clear a part, and all daemons have some.
@@ -27,25 +27,87 @@
 /// How long the reports of a crash may take to arrive from all daemons. The leader relays changes of the
 /// store within about a second in a fleet of 300.
 const SETTLING_SPAN: Duration = Duration::from_millis(1_500);
-/// Delay of a report that only removes cleared parts, for daemons that start later.
-const CLEARANCE_DELAY: Duration = Duration::from_secs(2);
+/// Delay of a report that only removes what was cleared, for daemons that start later.
+const CLEARANCE_DELAY: Duration = Duration::from_secs(4);
 
 /// A crash in the ledger.
 #[derive(Clone, Debug)]
 struct CrashEntry {
-    suspects: Vec<SuspectRequest>,
-    /// Parts that were cleared after the crash. Late reports don't make them suspects again.
-    cleared: Vec<PartId>,
+    suspects: Vec<SuspectRun>,
+    /// How many copies of each suspect the hosts had sent.
+    copies: SortedMap<(RequestDigest, Name), u32>,
+    /// What was cleared after the crash. Late reports don't make that suspect again.
+    cleared: Vec<CrashCause>,
     /// Whether this host saw the crash.
     is_own: bool,
+    /// When the first host saw the crash, by its time of day.
+    crashed_at: UnixMillis,
+    /// When this daemon learned of the crash.
     seen_at: Time,
     /// When all daemons' reports have probably arrived.
     settled_at: Time,
     used_at: Time,
 }
 
-/// Answers that this daemon has seen to requests with a part that is suspected, or was until they
-/// cleared it.
+impl CrashEntry {
+    fn suspects_any(&self, cause: CrashCause) -> bool {
+        self.suspects.iter().any(|run| run.request.holds(cause))
+    }
+
+    /// Adds a suspect, and returns what it makes suspect. If there are too many suspects, one that is also
+    /// suspected of another crash (`is_repeated`) displaces another.
+    fn add_suspect(
+        &mut self,
+        host: &Name,
+        mut run: SuspectRun,
+        is_repeated: bool,
+    ) -> Vec<CrashCause> {
+        let digest = run.request.digest;
+        if self.cleared.contains(&CrashCause::Request(digest)) {
+            return Vec::new();
+        }
+        let known = self.copies.entry((digest, host.clone()), || 0);
+        *known = run.copies.max(*known);
+        let reports = self.copies.range_by(|(other, _)| other.cmp(&digest));
+        run.copies = reports.iter().map(|(_, copies)| copies).sum();
+        run.request.parts.retain(|part| !self.cleared.contains(&CrashCause::Part(*part)));
+        if let Some(known) = self.suspects.iter_mut().find(|known| known.request == run.request) {
+            known.sent_at = known.sent_at.max(run.sent_at);
+            known.copies = run.copies;
+            known.was_answered |= run.was_answered;
+            return Vec::new();
+        }
+        if self.suspects.len() >= MAX_SUSPECTS {
+            if !is_repeated {
+                return Vec::new();
+            }
+            self.suspects.remove(0);
+        }
+        let causes = run.request.causes().collect();
+        self.suspects.push(run);
+        causes
+    }
+
+    /// Returns how many copies of a request a host had sent.
+    fn copies_of(&self, digest: RequestDigest, host: &Name) -> u32 {
+        self.copies.get(&(digest, host.clone())).copied().unwrap_or(0)
+    }
+
+    /// Clears a request, or a part of all requests.
+    fn clear(&mut self, cause: CrashCause) {
+        self.cleared.push(cause);
+        match cause {
+            CrashCause::Request(digest) => self.suspects.retain(|run| run.request.digest != digest),
+            CrashCause::Part(part) => {
+                let requests = self.suspects.iter_mut().map(|run| &mut run.request);
+                requests.for_each(|request| request.parts.retain(|other| *other != part));
+            }
+        }
+    }
+}
+
+/// Answers that this daemon has seen to a request that is suspected, or to requests with a suspected part,
+/// also if they have cleared it.
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnAnswers {
     count: u32,
@@ -57,7 +119,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct SharedAnswers {
     count: u32,
-    /// Number of answers above which every daemon clears the part.
+    /// Number of answers above which every daemon clears the request or the part.
     enough: u32,
 }
 
@@ -67,14 +129,15 @@
     host: Name,
     incarnation: u64,
     crashes: SortedMap<CrashId, CrashEntry>,
-    /// How many requests with each suspected part were answered since it was suspected.
-    answered: SortedMap<PartId, u32>,
-    own_answered: SortedMap<PartId, OwnAnswers>,
-    shared_answered: SortedMap<PartId, SharedAnswers>,
+    /// How many answers there were to each suspected request, and to requests with each suspected part,
+    /// since it was suspected.
+    answered: SortedMap<CrashCause, u32>,
+    own_answered: SortedMap<CrashCause, OwnAnswers>,
+    shared_answered: SortedMap<CrashCause, SharedAnswers>,
     /// The counts that each host has reported, with the process that counted.
-    reported: SortedMap<(Name, PartId), (u64, u32)>,
+    reported: SortedMap<(Name, CrashCause), (u64, u32)>,
     recent: AnsweredTable,
-    verdicts: Vec<PartVerdict>,
+    verdicts: Vec<CrashVerdict>,
     review_at: Option<Time>,
     /// Number of the last change of this host's evidence, and of the last one that was published.
     changed: u64,
@@ -105,33 +168,44 @@
         }
     }
 
-    /// Records that a target crashed before it had begun to answer a request of this daemon.
-    pub fn record_crash(&mut self, now: Time, crash: &CrashId, suspect: SuspectRequest) {
-        if suspect.parts.is_empty() {
-            return;
-        }
-        self.add_suspects(now, crash, vec![suspect], true);
+    /// Records that a target crashed at `crashed_at` before it had begun to answer a request of this
+    /// daemon, which was sent at `sent_at`. Copies of the same request are recorded one by one.
+    pub fn record_crash(
+        &mut self,
+        now: Time,
+        crash: &CrashId,
+        crashed_at: UnixMillis,
+        request: SuspectRequest,
+        sent_at: UnixMillis,
+    ) {
+        let digest = request.digest;
+        let known = self.crashes.get(crash);
+        let copies = 1 + known.map_or(0, |entry| entry.copies_of(digest, &self.host));
+        let was_answered = self.recent.last(now, CrashCause::Request(digest)).is_some();
+        let suspects = vec![SuspectRun { request, sent_at, copies, was_answered }];
+        let report = CrashReport { crash: crash.clone(), crashed_at, suspects };
+        self.add_report(now, &self.host.clone(), report);
         self.changed += 1;
         self.crashes_due = earliest(self.crashes_due, now);
         self.review(now);
     }
 
-    /// Records that a target has begun to answer a request with these parts. If that is new evidence,
-    /// its report is delayed by `delay`; see [`CrashLedger::answers_delay`].
-    pub fn record_answer(&mut self, now: Time, parts: &[PartId], delay: Duration) {
-        self.recent.record(now, parts);
+    /// Records that a target has begun to answer a request. If that is new evidence, its report is
+    /// delayed by `delay`; see [`CrashLedger::answers_delay`].
+    pub fn record_answer(&mut self, now: Time, request: &SuspectRequest, delay: Duration) {
+        self.recent.record(now, request);
         if self.crashes.is_empty() {
             return;
         }
-        let suspected: Vec<PartId> =
-            parts.iter().copied().filter(|part| self.is_suspected(*part)).collect();
+        let suspected: Vec<CrashCause> =
+            request.causes().filter(|cause| self.answered.contains(cause)).collect();
         if suspected.is_empty() {
             return;
         }
-        for part in suspected {
-            let own = self.own_answered.entry(part, OwnAnswers::default);
+        for cause in suspected {
+            let own = self.own_answered.entry(cause, OwnAnswers::default);
             (own.count, own.last_at) = (own.count + 1, now);
-            *self.answered.entry(part, || 0) += 1;
+            *self.answered.entry(cause, || 0) += 1;
         }
         self.changed += 1;
         self.answers_due = earliest(self.answers_due, now + delay);
@@ -160,118 +234,130 @@
     pub fn apply_evidence(&mut self, now: Time, host: &Name, evidence: &HostEvidence) {
         let is_own = *host == self.host;
         for report in &evidence.crashes {
-            self.add_suspects(now, &report.crash, report.suspects.clone(), is_own);
+            self.add_report(now, host, report.clone());
         }
         if !is_own || evidence.incarnation != self.incarnation {
-            for (part, count) in &evidence.answered {
-                self.add_answers(host, evidence.incarnation, *part, *count);
+            for (cause, count) in &evidence.answered {
+                self.add_answers(host, evidence.incarnation, *cause, *count);
             }
         }
         self.review(now);
     }
 
-    fn add_answers(&mut self, host: &Name, incarnation: u64, part: PartId, count: u32) {
-        let known = self.reported.insert((host.clone(), part), (incarnation, count));
-        // A host that suspects the part anew, or has restarted, counts from zero.
+    fn add_answers(&mut self, host: &Name, incarnation: u64, cause: CrashCause, count: u32) {
+        let known = self.reported.insert((host.clone(), cause), (incarnation, count));
+        // A host that suspects the cause anew, or has restarted, counts from zero.
         let before = known.filter(|(process, before)| *process == incarnation && *before <= count);
         let new = count - before.map_or(0, |(_, before)| before);
-        if new > 0 && self.is_suspected(part) {
-            *self.answered.entry(part, || 0) += new;
+        if new > 0 && self.answered.contains(&cause) {
+            *self.answered.entry(cause, || 0) += new;
         }
-        if let Some(shared) = self.shared_answered.get_mut(&part) {
+        if let Some(shared) = self.shared_answered.get_mut(&cause) {
             shared.count = shared.count.saturating_add(new);
         }
     }
 
-    fn add_suspects(
-        &mut self,
-        now: Time,
-        crash: &CrashId,
-        suspects: Vec<SuspectRequest>,
-        is_own: bool,
-    ) {
+    fn add_report(&mut self, now: Time, host: &Name, report: CrashReport) {
+        let CrashReport { crash, crashed_at, suspects } = report;
+        let repeated: Vec<bool> =
+            suspects.iter().map(|run| self.is_suspected_elsewhere(&crash, run)).collect();
         let entry = self.crashes.entry(crash.clone(), || CrashEntry {
             suspects: Vec::new(),
+            copies: SortedMap::default(),
             cleared: Vec::new(),
             is_own: false,
+            crashed_at,
             seen_at: now,
             settled_at: now + SETTLING_SPAN,
             used_at: now,
         });
-        entry.is_own |= is_own;
+        entry.is_own |= *host == self.host;
+        entry.crashed_at = entry.crashed_at.min(crashed_at);
         let mut added = Vec::new();
-        for mut suspect in suspects {
-            suspect.parts.retain(|part| !entry.cleared.contains(part));
-            let is_known = entry.suspects.contains(&suspect);
-            if !suspect.parts.is_empty() && !is_known && entry.suspects.len() < MAX_SUSPECTS {
-                added.extend(suspect.parts.iter().copied());
-                entry.suspects.push(suspect);
-            }
-        }
-        if self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, entry)| entry.used_at);
-            if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
-                self.crashes.remove(&crash);
-            }
+        for (run, is_repeated) in suspects.into_iter().zip(repeated) {
+            added.extend(entry.add_suspect(host, run, is_repeated));
         }
+        self.limit_crashes();
         if added.is_empty() {
             return;
         }
-        let counts = self.crash_counts();
-        for part in added {
-            let enough = max_answers(counts.get(&part).copied().unwrap_or(0));
-            if !self.answered.contains(&part) {
-                self.answered.insert(part, 0);
-                self.shared_answered.insert(part, SharedAnswers::default());
+        for cause in added {
+            let crashes = self.crashes.values().filter(|entry| entry.suspects_any(cause));
+            let enough = max_answers(cause, crashes.count());
+            if !self.answered.contains(&cause) {
+                self.answered.insert(cause, 0);
+                self.shared_answered.insert(cause, SharedAnswers::default());
             }
-            if let Some(shared) = self.shared_answered.get_mut(&part) {
+            if let Some(shared) = self.shared_answered.get_mut(&cause) {
                 shared.enough = enough;
             }
         }
     }
 
-    /// Returns whether a part is suspected of a crash.
-    pub fn is_suspected(&self, part: PartId) -> bool {
-        self.answered.contains(&part)
+    /// Returns whether a request is suspected of another crash than the given one.
+    fn is_suspected_elsewhere(&self, crash: &CrashId, run: &SuspectRun) -> bool {
+        let cause = CrashCause::Request(run.request.digest);
+        let mut others = self.crashes.iter().filter(|(other, _)| *other != crash);
+        self.answered.contains(&cause) && others.any(|(_, entry)| entry.suspects_any(cause))
+    }
+
+    fn limit_crashes(&mut self) {
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let oldest = self.crashes.iter().min_by_key(|(_, entry)| entry.used_at);
+        if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
+            self.crashes.remove(&crash);
+        }
     }
 
-    /// Returns the number of crashes that each part is suspected of.
-    fn crash_counts(&self) -> SortedMap<PartId, usize> {
-        count_crashes(self.crashes.values().map(|entry| entry.suspects.as_slice()))
+    /// Returns whether the request itself is suspected of a crash.
+    pub fn is_suspect(&self, request: &SuspectRequest) -> bool {
+        self.answered.contains(&CrashCause::Request(request.digest))
+    }
+
+    /// Returns whether a request, or a part of its prompt, is suspected of a crash.
+    pub fn is_suspected(&self, request: &SuspectRequest) -> bool {
+        request.causes().any(|cause| self.answered.contains(&cause))
+    }
+
+    fn cases(&self, now: Time) -> Vec<CrashCase<'_>> {
+        let cases = self.crashes.iter().map(|(crash, entry)| CrashCase {
+            crash,
+            crashed_at: entry.crashed_at,
+            suspects: &entry.suspects,
+            is_settled: entry.settled_at <= now,
+        });
+        cases.collect()
     }
 
-    /// Clears the parts that were answered often enough, and reaches the verdicts anew.
+    /// Clears what was answered often enough, and reaches the verdicts anew.
     fn review(&mut self, now: Time) {
-        let counts = self.crash_counts();
-        let cleared: Vec<PartId> = self
+        let counts = count_crashes(&self.cases(now));
+        let cleared: Vec<CrashCause> = self
             .answered
             .iter()
-            .filter(|(part, answers)| {
-                let crashes = counts.get(part).copied().unwrap_or(0);
-                crashes == 0 || **answers > max_answers(crashes)
+            .filter(|(cause, answers)| {
+                let crashes = counts.get(cause).copied().unwrap_or(0);
+                crashes == 0 || **answers > max_answers(**cause, crashes)
             })
-            .map(|(part, _)| *part)
+            .map(|(cause, _)| *cause)
             .collect();
-        for part in cleared {
-            self.clear_part(now, part);
+        for cause in cleared {
+            self.clear_cause(now, cause);
         }
-        self.own_answered.retain(|part, own| {
+        self.own_answered.retain(|cause, own| {
             let is_recent = now.since(own.last_at) < ANSWERS_SPAN;
-            is_recent || self.answered.contains(part)
+            is_recent || self.answered.contains(cause)
         });
-        let is_needed = |(part, own): (&PartId, &OwnAnswers)| {
-            let shared = self.shared_answered.get(part);
+        let is_needed = |(cause, own): (&CrashCause, &OwnAnswers)| {
+            let shared = self.shared_answered.get(cause);
             own.count > own.published && shared.is_none_or(|shared| shared.count <= shared.enough)
         };
         if !self.own_answered.iter().any(is_needed) {
             self.answers_due = None;
         }
-        let cases = self.crashes.iter().map(|(crash, entry)| CrashCase {
-            crash,
-            suspects: &entry.suspects,
-            is_settled: entry.settled_at <= now,
-        });
-        self.verdicts = reach_verdicts(cases.collect(), &self.answered);
+        self.verdicts = reach_verdicts(self.cases(now), &self.answered);
         let settling = self.crashes.values().map(|entry| entry.settled_at);
         self.review_at = settling.filter(|settled_at| *settled_at > now).min();
     }
@@ -288,24 +374,21 @@
         }
     }
 
-    fn clear_part(&mut self, now: Time, part: PartId) {
-        self.answered.remove(&part);
+    fn clear_cause(&mut self, now: Time, cause: CrashCause) {
+        self.answered.remove(&cause);
         for entry in self.crashes.values_mut() {
-            if !entry.suspects.iter().any(|suspect| suspect.parts.contains(&part)) {
-                continue;
-            }
-            entry.cleared.push(part);
-            entry.suspects.iter_mut().for_each(|suspect| suspect.parts.retain(|p| *p != part));
-            entry.suspects.retain(|suspect| !suspect.parts.is_empty());
-            if entry.is_own {
-                self.changed += 1;
-                self.crashes_due = earliest(self.crashes_due, now + CLEARANCE_DELAY);
+            if entry.suspects_any(cause) {
+                entry.clear(cause);
+                if entry.is_own {
+                    self.changed += 1;
+                    self.crashes_due = earliest(self.crashes_due, now + CLEARANCE_DELAY);
+                }
             }
         }
     }
 
     /// Returns the verdict that condemns a request, if there is one, and keeps its evidence.
-    pub fn condemns(&mut self, now: Time, request: &SuspectRequest) -> Option<&PartVerdict> {
+    pub fn condemns(&mut self, now: Time, request: &SuspectRequest) -> Option<&CrashVerdict> {
         self.update(now);
         let verdict = self.verdicts.iter().find(|verdict| verdict.covers(request))?;
         for crash in &verdict.crashes {
@@ -317,21 +400,25 @@
     }
 
     /// Returns whether a request that was about to be answered when its target crashed may be sent to
-    /// another one: each of its parts has been answered since the last other crash that it is
-    /// suspected of.
+    /// another one. Each part of its prompt must have been answered since the last other crash that it
+    /// is suspected of. So must the request itself, unless this is its first crash and its prompt has
+    /// parts that speak for it.
     pub fn may_resend(&self, now: Time, crash: &CrashId, request: &SuspectRequest) -> bool {
-        request.parts.iter().all(|part| {
-            let Some(answered_at) = self.recent.last(now, *part) else { return false };
+        request.causes().all(|cause| {
             let others = self.crashes.iter().filter(|(other, _)| *other != crash);
-            let mut suspected = others.filter(|(_, entry)| {
-                entry.suspects.iter().any(|suspect| suspect.parts.contains(part))
-            });
-            suspected.all(|(_, entry)| entry.seen_at < answered_at)
+            let mut suspected = others.filter(|(_, entry)| entry.suspects_any(cause));
+            match (self.recent.last(now, cause), cause) {
+                (Some(at), _) => suspected.all(|(_, entry)| entry.seen_at < at),
+                (None, CrashCause::Part(_)) => false,
+                (None, CrashCause::Request(_)) => {
+                    !request.parts.is_empty() && suspected.next().is_none()
+                }
+            }
         })
     }
 
     /// Returns the verdicts.
-    pub fn verdicts(&self) -> &[PartVerdict] {
+    pub fn verdicts(&self) -> &[CrashVerdict] {
         &self.verdicts
     }
 
@@ -356,7 +443,7 @@
         if self.crashes.len() < before {
             self.review(now);
             let (crashes, own) = (&self.crashes, &self.own_answered);
-            self.shared_answered.retain(|part, _| own.contains(part));
+            self.shared_answered.retain(|cause, _| own.contains(cause));
             self.reported.retain(|_, _| !crashes.is_empty());
         }
     }
@@ -384,28 +471,40 @@
             .filter(|(_, entry)| entry.is_own && !entry.suspects.is_empty())
             .collect();
         own.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.used_at));
-        let crashes = own.into_iter().take(MAX_REPORTED).map(|(crash, entry)| CrashReport {
+        let mut suspects = 0;
+        let reported = own.into_iter().take(MAX_REPORTED.0).take_while(|(_, entry)| {
+            suspects += entry.suspects.len();
+            suspects <= MAX_REPORTED.1
+        });
+        let crashes = reported.map(|(crash, entry)| CrashReport {
             crash: crash.clone(),
-            suspects: entry.suspects.clone(),
+            crashed_at: entry.crashed_at,
+            suspects: entry.suspects.iter().map(|run| self.own_run(entry, run)).collect(),
         });
-        let mut answered: Vec<(&PartId, &OwnAnswers)> = self.own_answered.iter().collect();
+        let mut answered: Vec<(&CrashCause, &OwnAnswers)> = self.own_answered.iter().collect();
         answered.sort_by_key(|(_, own)| std::cmp::Reverse(own.last_at));
         let answered = answered.into_iter().take(MAX_ANSWERED);
         let evidence = HostEvidence {
             incarnation: self.incarnation,
             crashes: crashes.collect(),
-            answered: answered.map(|(part, own)| (*part, own.count)).collect(),
+            answered: answered.map(|(cause, own)| (*cause, own.count)).collect(),
         };
         (self.changed, evidence)
     }
 
+    /// Returns a suspect with the copies that this host had sent.
+    fn own_run(&self, entry: &CrashEntry, run: &SuspectRun) -> SuspectRun {
+        let copies = entry.copies_of(run.request.digest, &self.host);
+        SuspectRun { copies, ..run.clone() }
+    }
+
     /// Records that this evidence has been published, with its number.
     pub fn record_published(&mut self, number: u64, evidence: &HostEvidence) {
-        for (part, count) in &evidence.answered {
-            let Some(own) = self.own_answered.get_mut(part) else { continue };
+        for (cause, count) in &evidence.answered {
+            let Some(own) = self.own_answered.get_mut(cause) else { continue };
             let new = count.saturating_sub(own.published);
             own.published = own.published.max(*count);
-            if let Some(shared) = self.shared_answered.get_mut(part) {
+            if let Some(shared) = self.shared_answered.get_mut(cause) {
                 shared.count = shared.count.saturating_add(new);
             }
         }
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -1,10 +1,12 @@
-//! Finds prompt parts that crash targets, and condemns them.
+//! Finds requests and prompt parts that crash targets, and condemns them.
 //!
-//! A request whose prompt holds such a part crashes each target that begins to answer it, so that no
-//! daemon sees more than a crash or two. Each daemon reports to the whole fleet which of its requests
-//! were about to be answered when a target crashed, and which suspected parts have been answered since. A
-//! [`CrashLedger`] collects these reports. It reaches the same verdicts on every daemon, without a
-//! leader.
+//! Such a request crashes each target that begins to run it, and comes again at any daemon; or different
+//! requests have a part in common that does. No daemon sees more than a crash or two. Each reports to the
+//! whole fleet which of its requests were about to be answered when a target crashed, and which suspects
+//! have been answered since. A [`CrashLedger`] collects these reports. It reaches the same verdicts on
+//! every daemon, without a leader.
+//!
+//! The repeats of a request are evidence against that request, and together one crash against its parts.
 //!
 //! The crate performs no I/O and reads no clock.
 //!
@@ -13,21 +15,26 @@
 //! ```
 //! use std::time::Duration;
 //! use base::Time;
-//! use mango_suspect::{CrashId, CrashLedger, PartId, SuspectRequest};
+//! use mango_suspect::{ContentDigest, CrashId, CrashLedger, RequestDigest};
+//! use mango_suspect::{SuspectRequest, UnixMillis};
 //!
 //! let mut ledger = CrashLedger::new("host-1".parse()?, 1);
-//! let (common, guilty) = (PartId(0x5c1e), PartId(0xdead));
-//! let request = SuspectRequest { team: Some("atelier".parse()?), parts: vec![common, guilty] };
+//! let team = Some("atelier".parse()?);
+//! let content = ContentDigest::new("POST", "/orders/7", b"a body that crashes targets");
+//! let digest = RequestDigest::new(&content, team.as_ref());
+//! let request = SuspectRequest { team, digest, parts: Vec::new() };
 //! for number in 0..3 {
-//!     let crash = CrashId { target: format!("engine-{number}").parse()?, born_ms: 7 };
-//!     ledger.record_crash(Time::from_millis(number), &crash, request.clone());
-//!     // Other requests with the common part are answered.
-//!     ledger.record_answer(Time::from_millis(number), &[common], Duration::ZERO);
+//!     let crash = CrashId { target: format!("orders-{number}").parse()?, born_ms: 7 };
+//!     let crashed_at = UnixMillis(1_000 * (number + 1));
+//!     let sent_at = crashed_at.before(Duration::from_millis(20));
+//!     let now = Time::from_millis(crashed_at.0);
+//!     ledger.record_crash(now, &crash, crashed_at, request.clone(), sent_at);
 //! }
-//! let now = Time::from_millis(2_000);
+//! let now = Time::from_millis(3_000);
 //! assert!(ledger.condemns(now, &request).is_some());
-//! let sound = SuspectRequest { parts: vec![common], ..request };
-//! assert!(ledger.condemns(now, &sound).is_none());
+//! // An answer to a copy that was under way takes the verdict back.
+//! ledger.record_answer(now, &request, Duration::ZERO);
+//! assert!(ledger.condemns(now, &request).is_none());
 //! # Ok::<(), base::ParseError>(())
 //! ```
 //!
@@ -38,8 +45,10 @@
 //!
 //! # Limits
 //!
-//! A part needs [`MIN_CRASHES`] crashes, and must crash at least a third of the targets that begin to
-//! answer it. A request's last part is its own and never condemned. The ledger remembers 256 crashes.
+//! A verdict on a part needs [`MIN_CRASHES`] independent crashes; one on a request as many lost copies, in two
+//! independent crashes at least, or in three if it was answered before. A request must crash every target, since one answer clears it; a part must crash at least a third of the targets that begin to answer it. A request's last
+//! part is its own and never condemned. The ledger remembers 256 crashes. Their order is that of the hosts'
+//! times of day: a host whose clock is wrong by seconds may hide one independent crash or add one.
 
 mod answered;
 mod crash;
@@ -47,9 +56,10 @@
 mod evidence;
 mod ledger;
 mod verdict;
+mod witness;
 
-pub use crash::{CrashId, PartId, SuspectRequest, MAX_PARTS};
+pub use crash::{CrashCause, CrashId, PartId, SuspectRequest, SuspectRun, UnixMillis, MAX_PARTS};
 pub use digest::{ContentDigest, RequestDigest};
 pub use evidence::{CrashReport, EvidenceWire, HostEvidence};
 pub use ledger::{CrashLedger, EVIDENCE_SPAN};
-pub use verdict::{PartVerdict, MIN_CRASHES};
+pub use verdict::{CrashVerdict, MIN_CRASHES};
