Count crashes at one moment as one event against prompt parts

Cause: the ledger counted these crashes as three independent witnesses, though they had one reason outside of the requests.

A crash is now independent of an earlier one only if its request was sent after that one, and is a different request. A part needs three of these. Where it explains less than half of the crashes near its own, only the independent ones decide how many answers it may have.

--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -6,6 +6,7 @@
 //! have been answered since. A [`CrashLedger`] collects these reports. It reaches the same verdicts on
 //! every daemon, without a leader.
 //!
+//! Two crashes are independent evidence if the request of the later one was sent after the earlier one.
 //! The repeats of a request are evidence against that request, and together one crash against its parts.
 //!
 //! The crate performs no I/O and reads no clock.
--- a/crates/suspect/src/verdict.rs
+++ b/crates/suspect/src/verdict.rs
@@ -2,7 +2,7 @@
 
 use base::{SortedMap, TeamName};
 
-use crate::witness::{count_different, count_request};
+use crate::witness::{count_different, count_request, explains_most};
 use crate::{CrashCause, CrashId, RequestDigest, SuspectRequest, SuspectRun, UnixMillis};
 
 /// Independent crashes that it takes to condemn a part, or a request that was answered before. Of any condemned
@@ -198,8 +198,10 @@
             if crashes < MIN_CRASHES || answers(part) > max_answers(part, crashes) {
                 return false;
             }
-            let different = count_different(&cases, part);
-            different >= MIN_CRASHES && answers(part) <= allowed_answers(part, crashes)
+            let independent = count_different(&cases, part);
+            // Beside crashes that something else explains, those of one moment count once.
+            let counted = if explains_most(&cases, part) { crashes } else { independent };
+            independent >= MIN_CRASHES && answers(part) <= allowed_answers(part, counted)
         };
         let candidates = counts.iter().filter(|(part, crashes)| is_candidate(**part, **crashes));
         let order = |(a, a_crashes): &(&CrashCause, &usize),
--- a/crates/suspect/tests/fleet_requests.rs
+++ b/crates/suspect/tests/fleet_requests.rs
@@ -41,3 +41,21 @@
         check(FleetCase { fault, ..LARGE_PROMPT });
     }
 }
+
+/// Guards against sound requests and parts that are condemned because many targets crash at one moment, or
+/// now and then, for another reason. Some requests are the same for many clients, and failed ones return.
+#[test]
+fn crash_waves() {
+    for fault in [Fault::CrashWaves, Fault::MassCrashes, Fault::OrdinaryCrashes] {
+        for is_repeatable in [false, true] {
+            let without = FleetCase { guilty_share: 0.0, is_repeatable, fault, ..PROMPT };
+            check(without);
+            check(FleetCase { targets: 18, ..FleetCase { guilt: Guilt::PlainRequest, ..without } });
+            check(FleetCase { guilty_share: 0.03, ..without });
+        }
+    }
+    for fault in [Fault::CrashWaves, Fault::OrdinaryCrashes] {
+        check(FleetCase { guilty_share: 0.0, is_repeatable: true, fault, ..LARGE_PROMPT });
+        check(FleetCase { is_repeatable: true, fault, ..LARGE_PROMPT });
+    }
+}
