Review other hosts' evidence at most every 25 ms

Evidence of other hosts now takes effect with the next decision, or with the next review, 25 ms apart.

--- a/crates/serve/src/evidence.rs
+++ b/crates/serve/src/evidence.rs
@@ -23,6 +23,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Least time between two records of a host.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
+/// Least time between two reviews of other hosts' evidence.
+const REVIEW_PAUSE: Duration = Duration::from_millis(25);
 /// How often leases of records that are in use are renewed, and unused evidence is removed.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(120);
 
@@ -124,6 +126,10 @@
             () = host.evidence_changed.notified() => {}
             () = sleep_until([due, review_due].into_iter().flatten().fold(renew_at, Time::min)) => {}
         }
+        let has_own = host.dispatcher.borrow().ledger().publish_due().is_some();
+        if !has_own {
+            tokio::time::sleep(REVIEW_PAUSE).await;
+        }
     }
 }
 
--- a/crates/suspect/src/ledger.rs
+++ b/crates/suspect/src/ledger.rs
@@ -138,6 +138,8 @@
     reported: SortedMap<(Name, CrashCause), (u64, u32)>,
     recent: AnsweredTable,
     verdicts: Vec<CrashVerdict>,
+    /// Whether evidence was added since the last review.
+    is_stale: bool,
     review_at: Option<Time>,
     /// Number of the last change of this host's evidence, and of the last one that was published.
     changed: u64,
@@ -160,6 +162,7 @@
             reported: SortedMap::default(),
             recent: AnsweredTable::default(),
             verdicts: Vec::new(),
+            is_stale: false,
             review_at: None,
             changed: 0,
             published: 0,
@@ -227,10 +230,10 @@
                 entry.settled_at = entry.settled_at.min(now);
             }
         }
-        self.review(now);
     }
 
-    /// Adds the evidence that a host has published. This process's own counts are ignored.
+    /// Adds the evidence that a host has published. This process's own counts are ignored. It takes effect
+    /// with the next decision, or with [`CrashLedger::update`].
     pub fn apply_evidence(&mut self, now: Time, host: &Name, evidence: &HostEvidence) {
         let is_own = *host == self.host;
         for report in &evidence.crashes {
@@ -241,7 +244,7 @@
                 self.add_answers(host, evidence.incarnation, *cause, *count);
             }
         }
-        self.review(now);
+        self.is_stale = true;
     }
 
     fn add_answers(&mut self, host: &Name, incarnation: u64, cause: CrashCause, count: u32) {
@@ -259,8 +262,10 @@
 
     fn add_report(&mut self, now: Time, host: &Name, report: CrashReport) {
         let CrashReport { crash, crashed_at, suspects } = report;
-        let repeated: Vec<bool> =
-            suspects.iter().map(|run| self.is_suspected_elsewhere(&crash, run)).collect();
+        let known = self.crashes.get(&crash).map_or(0, |entry| entry.suspects.len());
+        let is_crowded = known + suspects.len() > MAX_SUSPECTS;
+        let is_repeated = |run| is_crowded && self.is_suspected_elsewhere(&crash, run);
+        let repeated: Vec<bool> = suspects.iter().map(is_repeated).collect();
         let entry = self.crashes.entry(crash.clone(), || CrashEntry {
             suspects: Vec::new(),
             copies: SortedMap::default(),
@@ -333,6 +338,7 @@
 
     /// Clears what was answered often enough, and reaches the verdicts anew.
     fn review(&mut self, now: Time) {
+        self.is_stale = false;
         let counts = count_crashes(&self.cases(now));
         let cleared: Vec<CrashCause> = self
             .answered
@@ -367,9 +373,9 @@
         self.review_at
     }
 
-    /// Reaches the verdicts anew if that is due.
+    /// Reaches the verdicts anew if there is new evidence, or if that is due.
     pub fn update(&mut self, now: Time) {
-        if self.review_at.is_some_and(|at| now >= at) {
+        if self.is_stale || self.review_at.is_some_and(|at| now >= at) {
             self.review(now);
         }
     }
--- a/crates/suspect/tests/part_verdicts.rs
+++ b/crates/suspect/tests/part_verdicts.rs
@@ -299,6 +299,7 @@
     other.apply_evidence(at(10), &"host-1".parse().unwrap(), &evidence);
     (0..3).for_each(|_| answer(&mut other, &[FIRST.0]));
     ledger.apply_evidence(at(20), &"host-2".parse().unwrap(), &other.own_evidence().1);
+    ledger.update(at(20));
     // The part is cleared; what remains is to take it out of the report.
     assert!(!ledger.is_suspected(&request("a", &[FIRST.0])));
     assert!(ledger.publish_due().is_some_and(|due| due > at(510)));
