Don't take an earlier refusal for the refusal of the present request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a 421 was judged before its attempt identifier was compared, and a refusal of the same attempt has the same identifier. Now any answer with another identifier, or with none on a used connection, breaks the attempt off, so that its outcome counts as unknown; and no attempt is sent over a connection on which the server has refused it. A second refusal that arrives between two requests already closed the connection.

--- a/crates/mangodeal/tests/raw_server/mod.rs
+++ b/crates/mangodeal/tests/raw_server/mod.rs
@@ -15,7 +15,8 @@
     pub path: String,
     /// Identifier of the client attempt; empty for requests that daemons send by themselves.
     pub attempt: String,
-    /// Number of earlier requests on the same connection.
+    /// Number of the connection, and of earlier requests on it.
+    pub connection: usize,
     pub preceding: usize,
 }
 
@@ -30,6 +31,9 @@
     }
 }
 
+/// Closes the connection, instead of a text.
+pub const CLOSE: &str = "close";
+
 /// Texts to write as an answer, each after a pause.
 pub type Script = Vec<(Duration, String)>;
 
@@ -57,8 +61,9 @@
         let (script, received) = (Arc::new(script), requests.clone());
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(serve(stream, script.clone(), received.clone()));
+            for number in 0.. {
+                let Ok((stream, _)) = listener.accept().await else { return };
+                connections.spawn(serve((number, stream), script.clone(), received.clone()));
             }
         });
         RawServer { address, requests, task }
@@ -69,17 +74,24 @@
     }
 }
 
-async fn serve<F>(mut stream: TcpStream, script: Arc<F>, received: Arc<Mutex<Vec<RawRequest>>>)
-where
+async fn serve<F>(
+    (connection, mut stream): (usize, TcpStream),
+    script: Arc<F>,
+    received: Arc<Mutex<Vec<RawRequest>>>,
+) where
     F: Fn(&RawRequest) -> Script,
 {
     let mut bytes = Vec::new();
     let mut preceding = 0;
-    while let Some(request) = read(&mut stream, &mut bytes, preceding).await {
+    while let Some(mut request) = read(&mut stream, &mut bytes).await {
+        (request.connection, request.preceding) = (connection, preceding);
         preceding += 1;
         received.lock().unwrap().push(request.clone());
         for (pause, text) in script(&request) {
             tokio::time::sleep(pause).await;
+            if text == CLOSE {
+                return;
+            }
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
@@ -88,7 +100,7 @@
 }
 
 /// Reads one request. Bytes that follow it stay in `bytes`. Returns `None` when the connection closes.
-async fn read(stream: &mut TcpStream, bytes: &mut Vec<u8>, preceding: usize) -> Option<RawRequest> {
+async fn read(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<RawRequest> {
     loop {
         if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).to_string();
@@ -104,7 +116,7 @@
                 bytes.drain(..end + 4 + length);
                 let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
                 let attempt = field("mangodeal-attempt-id").unwrap_or_default();
-                return Some(RawRequest { path, attempt, preceding });
+                return Some(RawRequest { path, attempt, connection: 0, preceding: 0 });
             }
         }
         let mut buffer = [0; 4_096];
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -26,6 +26,8 @@
 const READ_BYTES: usize = 4 << 10;
 /// Most idle connections to one address.
 const MAX_IDLE: usize = 8;
+/// Most refusals on a connection that is used again.
+const MAX_REFUSED: usize = 16;
 /// Largest body of an answer to a call.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -59,6 +61,10 @@
     driver: JoinHandle<()>,
     /// How long the server keeps the connection open while it is idle, if it says so.
     pub(crate) keep_alive: Option<Duration>,
+    /// Whether the connection has carried an exchange before the present one.
+    pub(crate) is_used: bool,
+    /// Attempts that the server refused on this connection. A faulty server may write a refusal again.
+    refused: Vec<HeaderValue>,
 }
 
 impl Drop for PooledConn {
@@ -89,7 +95,16 @@
             // The exchange that uses the connection reports its errors.
             let _ = connection.await;
         });
-        Some(PooledConn { sender, driver, keep_alive: None })
+        Some(PooledConn { sender, driver, keep_alive: None, is_used: false, refused: Vec::new() })
+    }
+
+    /// Records that the server refused an attempt on this connection.
+    pub(crate) fn record_refusal(&mut self, attempt: Option<&HeaderValue>) {
+        self.refused.extend(attempt.cloned());
+    }
+
+    fn has_refused(&self, attempt: Option<&HeaderValue>) -> bool {
+        attempt.is_some_and(|attempt| self.refused.contains(attempt))
     }
 
     /// Returns whether another request can be sent.
@@ -174,20 +189,33 @@
         now: Time,
         address: SocketAddr,
         limit: Duration,
+    ) -> Option<PooledConn> {
+        self.take_for(now, address, limit, None)
+    }
+
+    /// Like [`take`](Self::take), and leaves connections on which the server has refused `attempt`.
+    pub(crate) fn take_for(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        limit: Duration,
+        attempt: Option<&HeaderValue>,
     ) -> Option<PooledConn> {
         let idle = self.idle.get_mut(&address)?;
-        while let Some(entry) = idle.pop() {
-            let idle_limit =
-                entry.conn.keep_alive.map_or(limit, |announced| limit.min(announced / 2));
-            if entry.conn.is_open() && now.since(entry.idle_since) < idle_limit {
-                return Some(entry.conn);
-            }
-        }
-        None
+        idle.retain(|entry| entry.conn.is_open());
+        let at = idle.iter().rposition(|IdleConn { conn, idle_since }| {
+            let idle_limit = conn.keep_alive.map_or(limit, |announced| limit.min(announced / 2));
+            now.since(*idle_since) < idle_limit && !conn.has_refused(attempt)
+        })?;
+        Some(idle.remove(at).conn)
     }
 
     /// Returns a connection to the pool after an exchange.
-    pub(crate) fn put(&mut self, now: Time, address: SocketAddr, conn: PooledConn) {
+    pub(crate) fn put(&mut self, now: Time, address: SocketAddr, mut conn: PooledConn) {
+        if conn.refused.len() > MAX_REFUSED {
+            return;
+        }
+        conn.is_used = true;
         let idle = self.idle.entry(address, Vec::new);
         idle.push(IdleConn { conn, idle_since: now });
         if idle.len() > MAX_IDLE {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -86,7 +86,9 @@
     }
     let deadline = decided_at + dispatch.time_left;
     let idle_limit = if dispatch.repeatable { MAX_IDLE_TIME } else { UNREPEATABLE_IDLE_TIME };
-    let pooled = host.conn_pool.borrow_mut().take(decided_at, dispatch.address, idle_limit);
+    let attempt = request.attempt_id.as_ref();
+    let pooled =
+        host.conn_pool.borrow_mut().take_for(decided_at, dispatch.address, idle_limit, attempt);
     let pooled = pooled.filter(|conn| dispatch.repeatable || conn.keep_alive.is_some());
     // A request without an attempt id gets a new connection: its answer can't be distinguished from
     // a late answer to an earlier request.
@@ -169,7 +171,7 @@
     dispatch: &Dispatch,
     request: &ForwardRequest,
     response: Response<Incoming>,
-    conn: PooledConn,
+    mut conn: PooledConn,
 ) -> AttemptOutcome {
     let head = read_answer(response.status(), response.headers(), request.attempt_id.as_ref());
     let sender = head.instance.as_ref().unwrap_or(&dispatch.target);
@@ -184,8 +186,9 @@
         let notice = (head.notice.limit, is_complete);
         record_limit(host, sender, sent_at, notice, attempt.unwrap_or_default());
     }
-    if let Some(end) = classify_answer(&head, response.status(), dispatch) {
+    if let Some(end) = classify_answer(&head, response.status(), dispatch, conn.is_used) {
         if end.is_not_run() && end != AttemptEnd::Replaced {
+            conn.record_refusal(request.attempt_id.as_ref());
             // A refusal is short. Once it has been read, the connection can be reused.
             if Limited::new(response.into_body(), MAX_BUFFERED_BYTES).collect().await.is_ok() {
                 host.conn_pool.borrow_mut().put(boot_time(), dispatch.address, conn);
@@ -272,12 +275,19 @@
         .info();
 }
 
-/// Returns how the attempt ended if the answer is not a valid answer to the request.
+/// Returns how the attempt ended if the answer is not a valid answer to the request. `is_used` is set if
+/// the connection has carried earlier requests.
 fn classify_answer(
     head: &AnswerHead,
     status: StatusCode,
     dispatch: &Dispatch,
+    is_used: bool,
 ) -> Option<AttemptEnd> {
+    // On a connection that was used before, it may be a refusal of another request, once more.
+    let may_be_stale = head.has_attempt || is_used;
+    if !head.matches_attempt && may_be_stale {
+        return Some(AttemptEnd::Broken);
+    }
     if status == StatusCode::MISDIRECTED_REQUEST && !head.is_sealed {
         let is_other = head.instance.as_ref().is_some_and(|instance| *instance != dispatch.target);
         return Some(if is_other { AttemptEnd::Replaced } else { AttemptEnd::Lacking });
