Resume a stream only with its own rest

Report of other operators: a stream broke off, and the next server's error stood in the middle of it, or it ended as if complete. Errors by status were right before: the stream breaks off. But an error with status 200 was appended to the client's stream, as was a stream that begins again (resumed_answers: 'an error with success' failed first).

The next answer must have the status and the content type of the first one, and its first event an id after the last one that the client has; otherwise the attempt counts as broken. 14 cases.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -14,7 +14,7 @@
 use futures::StreamExt;
 use http_body_util::{BodyExt, Either, Limited, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{HeaderValue, HOST};
+use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Request, Response};
 use limit::RequestRate;
 use platform::request::read_head;
@@ -25,7 +25,7 @@
     ReplyBody,
 };
 use crate::conn::is_refused;
-use crate::exchange::{run_attempt, AttemptOutcome, ForwardRequest, OpenStream};
+use crate::exchange::{run_attempt, AttemptOutcome, BrokenStream, ForwardRequest, OpenStream};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::peer;
@@ -319,6 +319,7 @@
             guard.first_event_at = Some(boot_time());
             let relay = StreamRelay {
                 deadline: deadline.unwrap_or_else(boot_time),
+                content_type: headers.get(CONTENT_TYPE).cloned(),
                 guard,
                 forward,
                 stream: Some(*stream),
@@ -351,7 +352,7 @@
 async fn run_attempts(
     guard: &mut RequestGuard,
     forward: &ForwardRequest,
-    last_event: Option<&str>,
+    broken: Option<&BrokenStream>,
 ) -> RequestResult {
     let (host, id) = (guard.host.clone(), guard.id);
     loop {
@@ -416,7 +417,7 @@
             .with("kept_tokens", note.kept_tokens)
             .with("listing_age_ms", note.listing_age.as_millis() as u64)
             .info();
-        let outcome = run_attempt(&host, id, &dispatch, forward, last_event).await;
+        let outcome = run_attempt(&host, id, &dispatch, forward, broken).await;
         let (end, failed) = match outcome {
             AttemptOutcome::Stream(stream) => return RequestResult::Stream(stream),
             AttemptOutcome::Complete(answer) => {
@@ -443,6 +444,8 @@
     guard: RequestGuard,
     forward: ForwardRequest,
     deadline: Time,
+    /// Content type of the client's answer, which is that of the first target.
+    content_type: Option<HeaderValue>,
     /// `None` once the stream has ended.
     stream: Option<OpenStream>,
 }
@@ -515,6 +518,7 @@
     /// Resumes the stream on another target. Returns false if that is not possible.
     async fn resume(&mut self, end: AttemptEnd, is_resumable: bool) -> bool {
         let Some(stream) = self.stream.take() else { return false };
+        let status = stream.status;
         let last = stream.splitter.last_id().map(str::to_owned);
         drop(stream);
         let end = self.guard.check_crash(end).await;
@@ -525,13 +529,11 @@
             }
             return false;
         }
-        match run_attempts(&mut self.guard, &self.forward, last.as_deref()).await {
-            RequestResult::Stream(mut stream) => {
-                // Until the new target sends an event, the stream is at the last event that the
-                // client received.
-                if let Some(last) = last {
-                    stream.splitter.resume_after(last);
-                }
+        let Some(last_event) = last else { return false };
+        let content_type = self.content_type.clone();
+        let broken = BrokenStream { last_event, status, content_type };
+        match run_attempts(&mut self.guard, &self.forward, Some(&broken)).await {
+            RequestResult::Stream(stream) => {
                 self.stream = Some(*stream);
                 true
             }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -40,18 +40,23 @@
         self.partial.split().freeze()
     }
 
-    /// Sets the last id for a stream that resumes after that event, unless a later event has
-    /// arrived.
-    pub(crate) fn resume_after(&mut self, id: String) {
-        self.last_id.get_or_insert(id);
-    }
-
     /// Returns the id of the last complete event.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 }
 
+/// Returns whether events go on where a stream broke off after the event with the id `last`. Ids increase;
+/// those that are no numbers must differ.
+pub(crate) fn continue_after(events: &[u8], last: &str) -> bool {
+    let mut ids = events.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
+    let Some(Ok(first)) = ids.next().map(std::str::from_utf8) else { return false };
+    match (first.trim().parse::<u64>(), last.parse::<u64>()) {
+        (Ok(first), Ok(last)) => first > last,
+        _ => first.trim() != last,
+    }
+}
+
 /// Returns the position after the last empty line. The first `scanned` bytes are skipped: they
 /// contain none.
 fn find_last_end(bytes: &[u8], scanned: usize) -> Option<usize> {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -9,7 +9,7 @@
 use front::{AttemptEnd, Dispatch, RequestDispatcher};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use limit::{LimitNotice, RequestRate};
 use platform::request::{
@@ -18,7 +18,7 @@
 
 use crate::answer::CompleteAnswer;
 use crate::conn::{ConnError, PooledConn};
-use crate::events::EventSplitter;
+use crate::events::{continue_after, EventSplitter};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 
@@ -50,6 +50,21 @@
     pub(crate) is_stream: bool,
 }
 
+/// A stream that broke off, and that another target should continue.
+pub(crate) struct BrokenStream {
+    /// Id of the last event that the client received.
+    pub(crate) last_event: String,
+    pub(crate) status: StatusCode,
+    pub(crate) content_type: Option<HeaderValue>,
+}
+
+impl BrokenStream {
+    /// Returns whether an answer with this head may be the rest of the stream.
+    fn is_continued_by(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        status == self.status && headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+}
+
 /// A stream whose first event has arrived.
 pub(crate) struct OpenStream {
     pub(crate) status: StatusCode,
@@ -76,7 +91,7 @@
     id: u64,
     dispatch: &Dispatch,
     request: &ForwardRequest,
-    last_event: Option<&str>,
+    broken: Option<&BrokenStream>,
 ) -> AttemptOutcome {
     let decided_at = boot_time();
     if !host.is_list_fresh(decided_at) {
@@ -116,7 +131,7 @@
         team: dispatch.team.as_ref(),
         time_left: deadline.since(now),
         urgency: dispatch.urgency,
-        last_event,
+        last_event: broken.map(|broken| broken.last_event.as_str()),
     };
     let mut out = Request::new(Full::new(request.body.clone()));
     *out.method_mut() = request.method.clone();
@@ -129,7 +144,7 @@
             Err(ConnError::NotSent) => return AttemptOutcome::End(AttemptEnd::NotSent),
             Err(ConnError::Lost) => return AttemptOutcome::End(AttemptEnd::Lost),
         };
-        read_response(host, (id, now), dispatch, request, response, conn).await
+        read_response(host, (id, now), dispatch, (request, broken), response, conn).await
     };
     let mut answer = std::pin::pin!(answer);
     let mut limit = reroute_at.min(deadline);
@@ -169,7 +184,7 @@
     host: &Host,
     (id, sent_at): (u64, Time),
     dispatch: &Dispatch,
-    request: &ForwardRequest,
+    (request, broken): (&ForwardRequest, Option<&BrokenStream>),
     response: Response<Incoming>,
     mut conn: PooledConn,
 ) -> AttemptOutcome {
@@ -202,10 +217,13 @@
         && !response.headers().contains_key(TRANSFER_ENCODING);
     let headers = answer_headers(response.headers());
     if request.is_stream && status.is_success() {
+        if broken.is_some_and(|broken| !broken.is_continued_by(status, &headers)) {
+            return AttemptOutcome::End(AttemptEnd::Broken);
+        }
         let (conn, address) = (conn, dispatch.address);
         return start_stream(
             host,
-            id,
+            (id, broken),
             head,
             (status, headers, response.into_body(), ends_by_close),
             (conn, address),
@@ -301,11 +319,11 @@
     (status.is_success() && !head.is_sealed).then_some(AttemptEnd::Broken)
 }
 
-/// Waits for the first event of a stream. `ends_by_close` is set if the answer has neither a length nor
+/// Waits for the first event of a stream, or of the rest of a broken one. `ends_by_close` is set if the answer has neither a length nor
 /// chunks.
 async fn start_stream(
     host: &Host,
-    id: u64,
+    (id, broken): (u64, Option<&BrokenStream>),
     head: AnswerHead,
     (status, headers, mut body, ends_by_close): (StatusCode, HeaderMap, Incoming, bool),
     (conn, address): (PooledConn, SocketAddr),
@@ -325,6 +343,9 @@
             Some(Err(_)) => return AttemptOutcome::End(AttemptEnd::Broken),
         };
         let Some(events) = frame.data_ref().and_then(|data| splitter.push(data)) else { continue };
+        if broken.is_some_and(|broken| !continue_after(&events, &broken.last_event)) {
+            return AttemptOutcome::End(AttemptEnd::Broken);
+        }
         host.dispatcher.borrow_mut().record_answer_start(boot_time(), id, head.load);
         let first_events = Some(events);
         let open = OpenStream { status, headers, first_events, splitter, body, conn, address };
