Don't resume a stream inside an event

An event over 64 KiB is passed on in parts. If its target breaks off then, the id of that event counted as received, and the next target's rest was joined to the part (large_event, failing before: a body that looks complete). Such a stream is broken off now. The last three bytes of a part are kept, so that an event's end is found also where it is cut.

--- a/crates/mangodeal/tests/resumed_answers.rs
+++ b/crates/mangodeal/tests/resumed_answers.rs
@@ -17,6 +17,8 @@
 const EVENTS: &str = "text/event-stream";
 /// What the client has received when the first server breaks off.
 const FIRST: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+/// Size of an event that is passed on before its end has arrived.
+const LARGE_EVENT: usize = 200_000;
 /// The rest of the stream.
 const REST: &str = "id: 3\ndata: three\n\nid: 4\ndata: four\n\n";
 
@@ -139,27 +141,35 @@
     }
 }
 
+/// Starts a daemon with two such servers, which are the only engines.
+async fn start_fleet<F>(script: F) -> (PlatformFleet, [RawServer; 2])
+where
+    F: Fn(&RawRequest) -> Script + Clone + Send + Sync + 'static,
+{
+    let fleet = PlatformFleet::start(1).await;
+    let servers = [RawServer::start(script.clone()).await, RawServer::start(script).await];
+    fleet.store.delete("servers/engine-1");
+    fleet.store.delete("servers/engine-2");
+    for (number, server) in servers.iter().enumerate() {
+        let id = format!("raw-{number}");
+        let (key, entry) = server_entry(&id, "engines", server.address, &["a"]);
+        fleet.store.put(&key, &entry);
+        eventually(Duration::from_secs(5), "the server is listed", || async {
+            fleet.fronts[0].log().iter().any(|line| line["target"] == id.as_str())
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    (fleet, servers)
+}
+
 /// Guards against an error's text or head in the middle of a stream, against events that come twice, and
 /// against a stream that looks complete although it broke off.
 #[test]
 fn next_answers() {
     run(async {
         for case in &CASES {
-            let fleet = PlatformFleet::start(1).await;
-            let script = script(case);
-            let servers = [RawServer::start(script.clone()).await, RawServer::start(script).await];
-            fleet.store.delete("servers/engine-1");
-            fleet.store.delete("servers/engine-2");
-            for (number, server) in servers.iter().enumerate() {
-                let id = format!("raw-{number}");
-                let (key, entry) = server_entry(&id, "engines", server.address, &["a"]);
-                fleet.store.put(&key, &entry);
-                eventually(Duration::from_secs(5), "the server is listed", || async {
-                    fleet.fronts[0].log().iter().any(|line| line["target"] == id.as_str())
-                })
-                .await;
-            }
-            tokio::time::sleep(Duration::from_millis(300)).await;
+            let (fleet, servers) = start_fleet(script(case)).await;
             let front = fleet.fronts[0].caller;
             let answer = model_request(front, "resumed", "a").send().await.unwrap();
             assert_eq!(answer.status, 200, "{}", case.name);
@@ -172,3 +182,30 @@
         }
     });
 }
+
+/// Guards against the rest of a stream that is joined to a part of an event: an event too large to be
+/// buffered is passed on in parts.
+#[test]
+fn large_event() {
+    run(async {
+        let seen = Arc::new(Mutex::new(false));
+        let script = move |request: &RawRequest| -> Script {
+            if request.path.starts_with("/api/") {
+                return vec![(NOW, CLOSE.to_owned())];
+            }
+            let was_seen = std::mem::replace(&mut *seen.lock().unwrap(), true);
+            if was_seen {
+                let rest = "id: 4\ndata: four\n\n";
+                return vec![(NOW, request.answer("200 OK", EVENTS, rest))];
+            }
+            let begun = format!("{FIRST}id: 3\ndata: {}", "x".repeat(LARGE_EVENT));
+            let whole = request.answer("200 OK", EVENTS, &format!("{begun}\n\n"));
+            let pause = Duration::from_millis(100);
+            vec![(NOW, whole[..whole.len() - 2].to_owned()), (pause, CLOSE.to_owned())]
+        };
+        let (fleet, _servers) = start_fleet(script).await;
+        let answer = model_request(fleet.fronts[0].caller, "large", "a").send().await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(read_text(answer).await, None, "a broken stream looks complete");
+    });
+}
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -462,6 +462,7 @@
             }
             let (host, id) = (&self.guard.host, self.guard.id);
             let is_resumable = stream.splitter.last_id().is_some()
+                && !stream.splitter.is_split()
                 && host
                     .dispatcher
                     .borrow()
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -4,6 +4,8 @@
 
 /// Longest event that is buffered; a longer one is passed on in parts.
 const MAX_EVENT_BYTES: usize = 64 << 10;
+/// Bytes that may begin the end of an event, and are kept until it is known.
+const END_BYTES: usize = 3;
 
 /// Splits a byte stream at the ends of events, so that a client never receives a partial event when
 /// a target breaks off.
@@ -11,6 +13,8 @@
 pub(crate) struct EventSplitter {
     partial: BytesMut,
     last_id: Option<String>,
+    /// Whether a part of the present event has been passed on.
+    is_split: bool,
 }
 
 impl EventSplitter {
@@ -20,9 +24,10 @@
         self.partial.extend_from_slice(bytes);
         let end = match find_last_end(&self.partial, scanned) {
             Some(end) => end,
-            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.len(),
+            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.len() - END_BYTES,
             None => return None,
         };
+        self.is_split = !ends_event(&self.partial[..end]);
         let events = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
@@ -32,7 +37,12 @@
 
     /// Returns whether the last event is incomplete. A stream that ends there has been broken off.
     pub(crate) fn is_inside_event(&self) -> bool {
-        self.partial.iter().any(|byte| !b"\r\n".contains(byte))
+        self.is_split || self.partial.iter().any(|byte| !b"\r\n".contains(byte))
+    }
+
+    /// Returns whether the client has received a part of an event. Another target can't go on there.
+    pub(crate) fn is_split(&self) -> bool {
+        self.is_split
     }
 
     /// Returns the bytes after the last complete event.
@@ -60,9 +70,11 @@
 /// Returns the position after the last empty line. The first `scanned` bytes are skipped: they
 /// contain none.
 fn find_last_end(bytes: &[u8], scanned: usize) -> Option<usize> {
-    let is_end =
-        |at: &usize| bytes[..*at].ends_with(b"\n\n") || bytes[..*at].ends_with(b"\r\n\r\n");
-    (scanned + 1..=bytes.len()).rev().find(is_end)
+    (scanned + 1..=bytes.len()).rev().find(|at| ends_event(&bytes[..*at]))
+}
+
+fn ends_event(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
