--- a/crates/mangodeal/tests/stale_refusals.rs
+++ b/crates/mangodeal/tests/stale_refusals.rs
@@ -45,7 +45,7 @@
 }
 
 /// Guards against a refusal of one request that is taken for the refusal of the next one on the connection:
-/// its client is told "not run" for what runs, or it runs at a second server.
+/// its client gets "not run" for what runs, or it runs at a second server.
 #[test]
 fn refusal_of_another_request() {
     let mut cases = Vec::new();
--- a/crates/suspect/tests/fleet_evidence.rs
+++ b/crates/suspect/tests/fleet_evidence.rs
@@ -50,6 +50,13 @@
     check(FleetCase { guilty_share: 0.002, ..LARGE });
 }
 
+/// Guards against more reports than the store takes: three guilty parts in a large fleet, of which each
+/// crash is seen by several daemons, and answers clear many parts meanwhile.
+#[test]
+fn busy_reports() {
+    check_seed(FleetCase { guilty: 3, guilty_share: 0.06, ..LARGE }, 12);
+}
+
 /// Guards against a guilty first part, and against parts that crash only some targets.
 #[test]
 fn other_guilt() {
--- a/crates/suspect/tests/fleet_model/mod.rs
+++ b/crates/suspect/tests/fleet_model/mod.rs
@@ -119,7 +119,7 @@
     clock_ahead: u64,
 }
 
-/// A request on its way.
+/// A request of a client.
 #[derive(Clone)]
 struct Call {
     request: SuspectRequest,
