--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,9 +4,11 @@
 mod dribble;
 mod engine;
 mod fleet;
+mod flood;
 mod http;
 mod json;
 mod late;
+mod pipeline;
 mod server;
 mod store;
 
@@ -19,7 +21,9 @@
     };
     let code = std::panic::catch_unwind(|| match name {
         "dribble" => dribble::run(folder, has_trouble),
+        "flood" => flood::run(folder, has_trouble),
         "late" => late::run(folder, has_trouble),
+        "pipeline" => pipeline::run(folder, has_trouble),
         _ => 2,
     });
     std::process::exit(code.unwrap_or(2));
