--- a/review/standin/flood.rs
+++ b/review/standin/flood.rs
@@ -19,7 +19,7 @@
 /// CONFIG: at least so many requests, and more than this part of those that last longer.
 const LEAST_LATE: usize = 8;
 /// Clients at each machine. Each reads 64 KB in 20 ms, 26 Mbit/s.
-const CLIENTS: usize = 6;
+const CLIENTS: usize = 12;
 const READ_BYTES: usize = 64 << 10;
 const READ_PAUSE: Duration = Duration::from_millis(20);
 /// Size of an event of the endless stream. Each tells when it was made.
