--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -49,9 +50,16 @@
     }
 }
 
+/// Returns a free address. No address is returned twice.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((own_ip(), 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
+    let ip = own_ip();
+    loop {
+        let address = SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::SeqCst)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// One daemon process.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod late;
 mod pipeline;
+mod revoke;
 mod server;
 mod store;
 
@@ -24,6 +25,7 @@
         "flood" => flood::run(folder, has_trouble),
         "late" => late::run(folder, has_trouble),
         "pipeline" => pipeline::run(folder, has_trouble),
+        "revoke" => revoke::run(folder, has_trouble),
         _ => 2,
     });
     std::process::exit(code.unwrap_or(2));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -99,6 +99,11 @@
         self.changed.notify_all();
     }
 
+    pub fn delete(&self, key: &str) {
+        self.state.lock().unwrap().delete(key);
+        self.changed.notify_all();
+    }
+
     fn answer(&self, request: &Message) -> (u16, Json) {
         let (prefix, after) = (request.query("prefix"), request.query("after"));
         if request.path() == "/api/kv-watch" {
