--- a/review/standin/dribble.rs
+++ b/review/standin/dribble.rs
@@ -77,8 +77,24 @@
     let dribbles = Arc::new(AtomicUsize::new(0));
     let born = 1_700_000_000_000;
     let routes = [
-        Route { prefix: "order", kind: "unsafe", service: "desk", attempts: 1, timeout_ms: 1_500, goal_ms: 600, resumable: false },
-        Route { prefix: "notes", kind: "stream", service: "helper", attempts: 1, timeout_ms: 15_000, goal_ms: 400, resumable: false },
+        Route {
+            prefix: "order",
+            kind: "unsafe",
+            service: "desk",
+            attempts: 1,
+            timeout_ms: 1_500,
+            goal_ms: 600,
+            resumable: false,
+        },
+        Route {
+            prefix: "notes",
+            kind: "stream",
+            service: "helper",
+            attempts: 1,
+            timeout_ms: 15_000,
+            goal_ms: 400,
+            resumable: false,
+        },
     ];
     let services = vec![plain_service("desk"), plain_service("helper")];
     let work = Duration::from_millis(250);
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -47,7 +47,9 @@
 
 impl State {
     fn settle(&mut self) {
-        let Some(task) = self.task.clone().filter(|task| Instant::now() >= task.until) else { return };
+        let Some(task) = self.task.clone().filter(|task| Instant::now() >= task.until) else {
+            return;
+        };
         self.task = None;
         match task.kind.as_str() {
             "load" => {
@@ -62,7 +64,11 @@
 }
 
 impl Engine {
-    pub fn start(id: &'static str, models: &[&str], record: Arc<Record>) -> (Arc<Engine>, SocketAddr) {
+    pub fn start(
+        id: &'static str,
+        models: &[&str],
+        record: Arc<Record>,
+    ) -> (Arc<Engine>, SocketAddr) {
         let list = || models.iter().map(|model| (*model).to_owned()).collect::<Vec<_>>();
         let state = State {
             born: 1_700_000_000_000,
@@ -123,7 +129,8 @@
     pub fn holdings(&self) -> Vec<(&'static str, Json)> {
         let mut state = self.state.lock().unwrap();
         state.settle();
-        let names = |list: &[String]| Json::List(list.iter().map(|m| Json::str(m.clone())).collect());
+        let names =
+            |list: &[String]| Json::List(list.iter().map(|m| Json::str(m.clone())).collect());
         let held = state.models.iter().map(|model| {
             Json::map(vec![
                 ("name", Json::str(model.clone())),
@@ -164,7 +171,12 @@
                     let is_held = state.hold.as_ref().is_some_and(|(model, _)| {
                         order.get("opKind").text() == "load" && order.get("model").text() == model
                     });
-                    if is_held { state.held_at = Some(Instant::now()); state.hold.take() } else { None }
+                    if is_held {
+                        state.held_at = Some(Instant::now());
+                        state.hold.take()
+                    } else {
+                        None
+                    }
                 };
                 if let Some((_, span)) = hold {
                     self.record.line(format!("{}: order {order} gets no answer", self.id));
@@ -172,7 +184,9 @@
                     thread::spawn(move || {
                         thread::sleep(span);
                         let status = engine.order(&order);
-                        engine.record.line(format!("{}: the late order arrives: {status}", engine.id));
+                        engine
+                            .record
+                            .line(format!("{}: the late order arrives: {status}", engine.id));
                     });
                     thread::sleep(span);
                     return false;
@@ -201,7 +215,8 @@
     fn order(&self, order: &Json) -> u16 {
         let mut state = self.state.lock().unwrap();
         state.settle();
-        let (kind, model) = (order.get("opKind").text().to_owned(), order.get("model").text().to_owned());
+        let (kind, model) =
+            (order.get("opKind").text().to_owned(), order.get("model").text().to_owned());
         let is_fenced = order.get("fenceToken").int() < state.fence;
         if is_fenced {
             return 412;
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -255,7 +255,14 @@
 }
 
 /// Returns the entry of a server.
-pub fn entry(service: &str, address: SocketAddr, slots: i64, state: &str, beat: i64, born: i64) -> Json {
+pub fn entry(
+    service: &str,
+    address: SocketAddr,
+    slots: i64,
+    state: &str,
+    beat: i64,
+    born: i64,
+) -> Json {
     Json::map(vec![
         ("service", Json::str(service)),
         ("address", Json::str(address.to_string())),
--- a/review/standin/flood.rs
+++ b/review/standin/flood.rs
@@ -121,7 +121,15 @@
     let temporary = Folder::create("flood");
     let (store, store_address) = Store::start();
     let started = Instant::now();
-    let routes = [Route { prefix: "notes", kind: "stream", service: "helper", attempts: 1, timeout_ms: TIMEOUT_MS as i64, goal_ms: 600, resumable: false }];
+    let routes = [Route {
+        prefix: "notes",
+        kind: "stream",
+        service: "helper",
+        attempts: 1,
+        timeout_ms: TIMEOUT_MS as i64,
+        goal_ms: 600,
+        resumable: false,
+    }];
     store.put("op/config", &config(7, &routes, vec![plain_service("helper")]));
     let address = server("i-help1", has_trouble, started);
     store.put("servers/i-help1", &entry("helper", address, 64, "ready", 1, 1_700_000_000_000));
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -147,9 +147,7 @@
             0 => Json::Null,
             _ => {
                 let start = self.at;
-                while self.at < self.text.len()
-                    && !b",]} \n\r\t".contains(&self.text[self.at])
-                {
+                while self.at < self.text.len() && !b",]} \n\r\t".contains(&self.text[self.at]) {
                     self.at += 1;
                 }
                 let word = String::from_utf8_lossy(&self.text[start..self.at]).into_owned();
--- a/review/standin/late.rs
+++ b/review/standin/late.rs
@@ -63,7 +63,15 @@
     let record = Arc::new(Record::create(folder));
     let temporary = Folder::create("late");
     let (store, store_address) = Store::start();
-    let routes = [Route { prefix: "notes", kind: "stream", service: "helper", attempts: 1, timeout_ms: 15_000, goal_ms: 400, resumable: false }];
+    let routes = [Route {
+        prefix: "notes",
+        kind: "stream",
+        service: "helper",
+        attempts: 1,
+        timeout_ms: 15_000,
+        goal_ms: 400,
+        resumable: false,
+    }];
     store.put("op/config", &config(7, &routes, vec![service()]));
     let (engine, address) = Engine::start("w-1", &["m1"], record.clone());
     let is_over = Arc::new(AtomicBool::new(false));
--- a/review/standin/pipeline.rs
+++ b/review/standin/pipeline.rs
@@ -28,7 +28,15 @@
     let temporary = Folder::create("pipeline");
     let (store, store_address) = Store::start();
     let arrivals = Arc::new(Arrivals::default());
-    let routes = [Route { prefix: "stock", kind: "safe", service: "desk", attempts: 2, timeout_ms: 1_500, goal_ms: 600, resumable: false }];
+    let routes = [Route {
+        prefix: "stock",
+        kind: "safe",
+        service: "desk",
+        attempts: 2,
+        timeout_ms: 1_500,
+        goal_ms: 600,
+        resumable: false,
+    }];
     store.put("op/config", &config(7, &routes, vec![plain_service("desk")]));
     let work = Duration::from_millis(300);
     for id in ["i-desk1", "i-desk2", "i-desk3"] {
--- a/review/standin/revoke.rs
+++ b/review/standin/revoke.rs
@@ -23,6 +23,8 @@
 /// Pause between two crashes, and how long a crashed server is away.
 const CRASH_PAUSE: Duration = Duration::from_millis(500);
 const DOWN: Duration = Duration::from_millis(1_200);
+/// Three heartbeat intervals of the site, after which the entry of a silent server is removed.
+const SILENCE: Duration = Duration::from_millis(3_600);
 /// Crashes before the first key is withdrawn.
 const CRASHES_BEFORE: usize = 12;
 /// How often the key is withdrawn, for how long, and how long it is valid between.
@@ -132,7 +134,15 @@
         ("maxConns", Json::Int(360)),
         ("engine", engine),
     ]);
-    let routes = [Route { prefix: "stock", kind: "safe", service: "desk", attempts: 2, timeout_ms: 3_000, goal_ms: 600, resumable: false }];
+    let routes = [Route {
+        prefix: "stock",
+        kind: "safe",
+        service: "desk",
+        attempts: 2,
+        timeout_ms: 3_000,
+        goal_ms: 600,
+        resumable: false,
+    }];
     let mut document = config(number, &routes, vec![plain_service("desk"), helper]);
     if number % 2 == 1 {
         let keys = Json::List(vec![Json::str(KEY), Json::str(SECOND_KEY)]);
@@ -162,7 +172,8 @@
         let number = (machine * CLIENTS + client) * 7_919 + count * 31 + at * 104_729;
         format!("{:08x}:{},", (number * 2_654_435_761) & 0xffff_ffff, 200 + at)
     };
-    (0..SHARED_PARTS).map(excerpt).collect::<String>() + &format!("{machine:x}{client:02x}{count:05x}:120")
+    (0..SHARED_PARTS).map(excerpt).collect::<String>()
+        + &format!("{machine:x}{client:02x}{count:05x}:120")
 }
 
 pub fn run(folder: &str, has_trouble: bool) -> i32 {
@@ -207,7 +218,10 @@
                     let path = format!("GET /stock/{machine}/{client}/{count}");
                     let limit = Duration::from_millis(3_000);
                     let mut lines = headers(KEY, &attempt);
-                    lines.push(("Mangodeal-Prompt-Prefix".to_owned(), parts(machine, client, count)));
+                    lines.push((
+                        "Mangodeal-Prompt-Prefix".to_owned(),
+                        parts(machine, client, count),
+                    ));
                     let end = call(front, &mut kept, &path, &lines, b"", limit);
                     served.fetch_add(usize::from(end.status() == 200), Ordering::SeqCst);
                     thread::sleep(Duration::from_millis(20));
@@ -247,6 +261,7 @@
     }
     let mut crashes = 0;
     let mut away: Vec<(usize, Instant)> = Vec::new();
+    let mut silent: Vec<(String, Instant)> = Vec::new();
     let mut next_crash = Instant::now() + Duration::from_secs(2);
     let mut next_change = None;
     let mut changes = 0;
@@ -259,9 +274,12 @@
             crashes += 1;
             record.line(format!("{} crashes", servers[at].id));
             servers[at].has_crashed.store(true, Ordering::SeqCst);
-            store.delete(&format!("servers/{}", servers[at].id));
+            silent.push((servers[at].id.clone(), now + SILENCE));
             away.push((at, now + DOWN));
         }
+        if silent.first().is_some_and(|(_, until)| now >= *until) {
+            store.delete(&format!("servers/{}", silent.remove(0).0));
+        }
         if let Some(&(at, until)) = away.first() {
             if now >= until {
                 away.remove(0);
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -31,7 +31,13 @@
 }
 
 /// Sends the stream of a sound server: `count` events, one after each pause.
-pub fn send_stream(conn: &mut Conn, id: &str, request: &Message, count: u32, pause: Duration) -> bool {
+pub fn send_stream(
+    conn: &mut Conn,
+    id: &str,
+    request: &Message,
+    count: u32,
+    pause: Duration,
+) -> bool {
     let attempt = request.header("mangodeal-attempt-id");
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMangodeal-Attempt-Id: {attempt}\r\n\
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -120,14 +120,18 @@
             },
             ("GET", "/api/kv-range") => {
                 let rows = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
-                let mut rows = rows.filter(|(key, _)| after.is_empty() || key.as_str() > after.as_str());
+                let mut rows =
+                    rows.filter(|(key, _)| after.is_empty() || key.as_str() > after.as_str());
                 let page = rows.by_ref().take(500).map(|(k, item)| State::row(k, item)).collect();
                 let has_more = rows.next().is_some();
-                (200, Json::map(vec![
-                    ("items", Json::List(page)),
-                    ("hasMore", Json::Bool(has_more)),
-                    ("currentRev", Json::Int(state.revision)),
-                ]))
+                (
+                    200,
+                    Json::map(vec![
+                        ("items", Json::List(page)),
+                        ("hasMore", Json::Bool(has_more)),
+                        ("currentRev", Json::Int(state.revision)),
+                    ]),
+                )
             }
             ("POST", "/api/kv-txn") => Store::txn(&mut state, &body),
             ("POST", "/api/kv-lease") => {
@@ -188,7 +192,8 @@
             if after > state.revision {
                 return (410, Json::map(vec![]));
             }
-            let changes = state.history.iter().filter(|(r, key, _)| *r > after && key.starts_with(prefix));
+            let changes =
+                state.history.iter().filter(|(r, key, _)| *r > after && key.starts_with(prefix));
             let events: Vec<Json> = changes
                 .map(|(revision, key, item)| match item {
                     Some(item) => State::row(key, item),
@@ -201,10 +206,13 @@
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                return (200, Json::map(vec![
-                    ("events", Json::List(events)),
-                    ("currentRev", Json::Int(state.revision)),
-                ]));
+                return (
+                    200,
+                    Json::map(vec![
+                        ("events", Json::List(events)),
+                        ("currentRev", Json::Int(state.revision)),
+                    ]),
+                );
             }
             // Leases end while nothing else happens.
             let pause = (end - now).min(Duration::from_millis(50));
