Limit the memory of buffered bodies over the whole process

Cause: a piece of a body is a slice of its connection's read buffer, and was kept as it came, so that 8 bytes kept 4 KB. And each body had a limit of its own, 8 MB, while nothing bounded their sum.

Change: crate buffer. All buffered bodies share a pool; pieces are copied; at the limit the owner that holds most loses its largest buffer. The same for clients' bodies, refusals, reports, messages of peers and the store, and on the product's own path. Metrics resident_bytes, buffered_bytes and buffer_evictions show counted against resident memory.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -87,6 +87,8 @@
     PartCondemned = 1306, 400, no, "a part of the prompt has crashed the targets that began to answer it";
     /// The same request has crashed the targets that began to run it.
     RequestCondemned = 1307, 400, no, "the same request has crashed the targets that began to run it";
+    /// The request's body does not fit into the memory for buffered bodies.
+    BuffersFull = 1308, 503, no, "this host has no memory for the request at present";
     /// The request is malformed.
     BadRequest = 1401, 400, no, "the request is malformed";
     /// The request is larger than allowed.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -223,6 +223,7 @@
 fn gate_config(settings: &Settings, seat: &Seat) -> GateConfig {
     GateConfig {
         max_body: usize::try_from(settings.max_body.0).unwrap_or(usize::MAX),
+        buffers: settings.buffers,
         receive_timeout: settings.receive_timeout,
         deadline: settings.deadline,
         id_prefix: format!("{:x}", seat.incarnation.0),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -21,7 +21,15 @@
     ("operators", &[]),
     (
         "requests",
-        &["max_body", "receive_timeout", "deadline", "max_waiting", "key_grace", "drain_delay"],
+        &[
+            "max_body",
+            "buffers",
+            "receive_timeout",
+            "deadline",
+            "max_waiting",
+            "key_grace",
+            "drain_delay",
+        ],
     ),
     (
         "placement",
@@ -77,6 +85,8 @@
     pub operators: Vec<(String, KeyHash)>,
     /// Maximum size of a request body.
     pub max_body: ByteSize,
+    /// Most memory for buffered bodies of requests and responses.
+    pub buffers: ByteSize,
     /// Timeout for receiving a request's head, and again for its body.
     pub receive_timeout: Duration,
     /// Deadline of model requests that specify none.
@@ -175,6 +185,9 @@
             max_body: reader
                 .value("requests", "max_body", SIZE_FORM, |text| text.parse().ok())
                 .unwrap_or(ByteSize(8 << 20)),
+            buffers: reader
+                .value("requests", "buffers", SIZE_FORM, |text| text.parse().ok())
+                .unwrap_or(ByteSize(64 << 20)),
             receive_timeout: reader.duration("requests", "receive_timeout", 10_000),
             deadline: reader.duration("requests", "deadline", 30_000),
             max_waiting: reader.count("requests", "max_waiting", 4_096),
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use base::ResultCode;
+use buffer::{BodyBuffer, BodyError};
 use bytes::Bytes;
 use futures::Stream;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 
 /// The body of a response.
@@ -30,12 +31,14 @@
     body: Incoming,
     limit: usize,
     timeout: Duration,
+    buffer: BodyBuffer,
 ) -> Result<Bytes, ResultCode> {
-    let reading = Limited::new(body, limit).collect();
+    let reading = buffer::read_body(body, limit, buffer);
     match tokio::time::timeout(timeout, reading).await {
         Err(_) => Err(ResultCode::CallerTimeout),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ResultCode::TooLarge),
-        Ok(Err(_)) => Err(ResultCode::BadRequest),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong)) => Err(ResultCode::TooLarge),
+        Ok(Err(BodyError::Evicted(_))) => Err(ResultCode::BuffersFull),
+        Ok(Err(BodyError::Broken)) => Err(ResultCode::BadRequest),
     }
 }
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -5,10 +5,12 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{RequestId, ResultCode, SecretKey, TokenCount};
+use base::{ByteSize, Name, RequestId, ResultCode, SecretKey, TokenCount};
+use buffer::{BodyBuffer, BufferOwner, BufferPool};
 use config::Snapshot;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -45,6 +47,8 @@
 pub struct GateConfig {
     /// Maximum size of a request body, in bytes.
     pub max_body: usize,
+    /// Most memory for buffered bodies of requests and responses.
+    pub buffers: ByteSize,
     /// Timeout for receiving a request's head, and again for its body.
     pub receive_timeout: Duration,
     /// Deadline of model requests that specify none.
@@ -57,6 +61,7 @@
     fn default() -> Self {
         GateConfig {
             max_body: 8 << 20,
+            buffers: ByteSize(64 << 20),
             receive_timeout: Duration::from_secs(10),
             deadline: Duration::from_secs(30),
             id_prefix: "local".to_owned(),
@@ -70,6 +75,8 @@
     link: NodeLink,
     config: Arc<GateConfig>,
     metrics: GateMetrics,
+    buffers: BufferPool,
+    received_count: Arc<AtomicU64>,
 }
 
 /// A valid request, as the node and as the target receive it.
@@ -90,7 +97,20 @@
 impl CallerGate {
     /// Creates a gate that submits requests to the node through a link.
     pub fn new(link: NodeLink, config: GateConfig) -> CallerGate {
-        CallerGate { link, config: Arc::new(config), metrics: GateMetrics::default() }
+        CallerGate {
+            link,
+            metrics: GateMetrics::default(),
+            buffers: BufferPool::new(config.buffers),
+            received_count: Arc::default(),
+            config: Arc::new(config),
+        }
+    }
+
+    /// Opens a buffer for a body that this request sends, or that the server at `address` does.
+    fn open_buffer(&self, address: Option<&Name>) -> BodyBuffer {
+        let number = self.received_count.fetch_add(1, Ordering::Relaxed);
+        let server = address.and_then(|address| address.as_str().parse().ok());
+        self.buffers.open(server.map_or(BufferOwner::Request(number), BufferOwner::Server))
     }
 
     /// Returns the metrics of this gate.
@@ -195,7 +215,9 @@
             return Err(ResultCode::NotFound.into());
         }
         let headers = forwarded_headers(&head.headers);
-        let body = read_body(body, self.config.max_body, self.config.receive_timeout).await?;
+        let buffer = self.open_buffer(None);
+        let timeout = self.config.receive_timeout;
+        let body = read_body(body, self.config.max_body, timeout, buffer).await?;
         let contains_key = |bytes: &[u8]| contains(bytes, key_text.as_bytes());
         if contains_key(&body) || headers.values().any(|value| contains_key(value.as_bytes())) {
             let detail = "the request repeats its key outside the Authorization header";
@@ -266,7 +288,8 @@
             };
             guard.is_dispatched = true;
             let time_left = deadline.since(self.link.now());
-            let exchange = exchange(&order.address, target.clone(), time_left);
+            let buffer = self.open_buffer(Some(&order.address));
+            let exchange = exchange(&order.address, target.clone(), time_left, buffer);
             let outcome = tokio::select! {
                 outcome = exchange => outcome,
                 code = wait_for_cancel(&mut commands) => {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use base::{Name, TokenCount};
+use buffer::{read_body, BodyBuffer};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
@@ -95,6 +96,7 @@
     address: &Name,
     request: TargetRequest,
     time_left: Duration,
+    buffer: BodyBuffer,
 ) -> ExchangeOutcome {
     let deadline = Instant::now() + time_left;
     let connected = tokio::time::timeout_at(deadline, connect(address)).await.ok().flatten();
@@ -110,7 +112,7 @@
     let driver = AbortOnDrop(tokio::spawn(async move {
         let _ = connection.await;
     }));
-    let response = receive_response(sender, driver, address, request);
+    let response = receive_response(sender, driver, address, request, buffer);
     tokio::time::timeout_at(deadline, response).await.unwrap_or(ExchangeOutcome::TimedOut)
 }
 
@@ -119,6 +121,7 @@
     driver: AbortOnDrop,
     address: &Name,
     request: TargetRequest,
+    buffer: BodyBuffer,
 ) -> ExchangeOutcome {
     let (id, is_engine) = (request.id.clone(), request.is_engine);
     let Some(request) = to_http(address, request) else { return ExchangeOutcome::NotSent };
@@ -134,7 +137,7 @@
     }
     match is_event_stream(&response) {
         true => start_stream(response, driver).await,
-        false => read_buffered(response).await,
+        false => read_buffered(response, buffer).await,
     }
 }
 
@@ -177,17 +180,19 @@
     }
 }
 
-async fn read_buffered(response: Response<Incoming>) -> ExchangeOutcome {
+async fn read_buffered(response: Response<Incoming>, buffer: BodyBuffer) -> ExchangeOutcome {
     let status = response.status();
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
     // hyper reports a body shorter than its Content-Length as an error.
-    match Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await {
+    match read_body(response.into_body(), MAX_RESPONSE_BYTES, buffer).await {
         Ok(body) => {
-            let body = body.to_bytes();
             let used = used_tokens(&body);
             ExchangeOutcome::Buffered(BufferedResponse { status, content_type, body, used })
         }
-        Err(_) => ExchangeOutcome::Lost,
+        Err(error) => {
+            log::info!("answer_unread: {error}");
+            ExchangeOutcome::Lost
+        }
     }
 }
 
--- a/crates/gate/src/operator.rs
+++ b/crates/gate/src/operator.rs
@@ -3,10 +3,12 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{ChangeId, KeyHash, ModelName, RequestId, ResultCode, Revision, SecretKey};
+use base::{ByteSize, ChangeId, KeyHash, ModelName, RequestId, ResultCode, Revision, SecretKey};
+use buffer::{BufferOwner, BufferPool};
 use config::{Change, Draft, DraftItem, Kind, Object, ObjectKey, Versioned};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, AUTHORIZATION, IF_MATCH};
@@ -25,6 +27,8 @@
 
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Memory for the bodies of all operators' requests.
+const OPERATOR_BUFFERS: ByteSize = ByteSize(16 << 20);
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of changes in a response.
 const AUDIT_PAGE: usize = 100;
@@ -57,6 +61,8 @@
 pub struct OperatorGate {
     link: NodeLink,
     config: Arc<OperatorConfig>,
+    buffers: BufferPool,
+    received_count: Arc<AtomicU64>,
 }
 
 type OperatorResponse = Response<ResponseBody>;
@@ -64,7 +70,8 @@
 impl OperatorGate {
     /// Creates a gate that reads and changes the node through a link.
     pub fn new(link: NodeLink, config: OperatorConfig) -> OperatorGate {
-        OperatorGate { link, config: Arc::new(config) }
+        let buffers = BufferPool::new(OPERATOR_BUFFERS);
+        OperatorGate { link, config: Arc::new(config), buffers, received_count: Arc::default() }
     }
 
     /// Serves connections until the future is dropped.
@@ -101,7 +108,9 @@
         let Some(actor) = self.authenticate(&head.headers) else {
             return response::error(ResultCode::OperatorRejected, None, None);
         };
-        let body = match read_body(body, MAX_BODY_BYTES, RECEIVE_TIMEOUT).await {
+        let number = self.received_count.fetch_add(1, Ordering::Relaxed);
+        let buffer = self.buffers.open(BufferOwner::Request(number));
+        let body = match read_body(body, MAX_BODY_BYTES, RECEIVE_TIMEOUT, buffer).await {
             Ok(body) => body,
             Err(code) => return response::error(code, None, None),
         };
--- a/crates/gate/src/target.rs
+++ b/crates/gate/src/target.rs
@@ -1,10 +1,12 @@
 //! Client for the orders and reports of targets.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
-use base::Name;
+use base::{ByteSize, Name};
+use buffer::{read_body, BufferOwner, BufferPool};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
@@ -19,6 +21,8 @@
 /// Timeout for connecting to a target.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const MAX_REPORT_BYTES: usize = 4 << 20;
+/// Memory for the reports of all targets and their answers to orders.
+static REPORT_BUFFERS: LazyLock<BufferPool> = LazyLock::new(|| BufferPool::new(ByteSize(32 << 20)));
 
 #[derive(Serialize)]
 struct OrderJson<'a> {
@@ -125,8 +129,11 @@
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
     let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
-    Some((status, body.to_bytes()))
+    let server = address.as_str().parse().ok()?;
+    let buffer = REPORT_BUFFERS.open(BufferOwner::Server(server));
+    let body = read_body(response.into_body(), MAX_REPORT_BYTES, buffer).await;
+    let body = body.inspect_err(|error| log::info!("report_unread: {address}: {error}")).ok()?;
+    Some((status, body))
 }
 
 /// Aborts the task of a connection when the exchange that uses it is dropped.
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use base::{ResultCode, Time};
+use buffer::{read_body, BodyError, BufferError, BufferOwner};
 use bytes::Bytes;
 use daemon::{boot_time, wall_ms};
 use fleet::PromptPart;
 use front::{Arrival, AttemptEnd, NextAction, Refusal, Step};
 use futures::StreamExt;
-use http_body_util::{BodyExt, Either, Limited, StreamBody};
+use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Request, Response};
@@ -25,7 +26,9 @@
     ReplyBody,
 };
 use crate::conn::is_refused;
-use crate::exchange::{run_attempt, AttemptOutcome, BrokenStream, ForwardRequest, OpenStream};
+use crate::exchange::{
+    log_unread, run_attempt, AttemptOutcome, BrokenStream, ForwardRequest, OpenStream,
+};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::peer;
@@ -44,6 +47,8 @@
 /// once.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-after time of a request whose body didn't fit into the daemon's memory.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time limit of finding out whether a target's process has ended.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Most parts of a prompt in a log line.
@@ -185,13 +190,22 @@
         return with_close(refusal_for_code(ResultCode::TooLarge));
     }
     let body_timeout = request_head.time_left.map_or(BODY_TIMEOUT, |left| left.min(BODY_TIMEOUT));
-    let reading = Limited::new(body, limit.max(64 << 10)).collect();
+    let number = host.next_request_number();
+    let buffer = host.request_buffers.open(BufferOwner::Request(number));
+    let reading = read_body(body, limit.max(64 << 10), buffer);
     let body = match tokio::time::timeout(body_timeout, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLong)) => {
             return with_close(refusal_for_code(ResultCode::TooLarge));
         }
-        Ok(Err(_)) => return with_close(refusal_for_code(ResultCode::BadRequest)),
+        Ok(Err(BodyError::Broken)) => return with_close(refusal_for_code(ResultCode::BadRequest)),
+        Ok(Err(BodyError::Evicted(error))) => {
+            let buffered = host.request_buffers.usage().used.0;
+            LogLine::new("body_unread").text("error", &error).with("buffered", buffered).info();
+            let refused = Refusal::new(ResultCode::BuffersFull, "buffers are full");
+            let refused = refused.after(FULL_RETRY_AFTER);
+            return with_close(refusal_answer(refused, request_head.attempt.as_ref()));
+        }
         Err(_) => return with_close(refusal_for_code(ResultCode::CallerTimeout)),
     };
     let attempt_id = request_head.attempt.as_ref().and_then(|value| value.to_str().ok());
@@ -469,10 +483,17 @@
                     .route_of(id)
                     .is_some_and(|route| route.kind.is_repeatable());
             let end = tokio::select! {
+                () = stream.charge.evicted() => {
+                    let error = BufferError::Evicted.into();
+                    log_unread(host, "stream_unread", stream.address, error);
+                    AttemptEnd::Broken
+                }
                 frame = stream.body.frame() => match frame {
                     Some(Ok(frame)) => {
                         let events = frame.data_ref().and_then(|data| stream.splitter.push(data));
+                        let charged = stream.charge.resize(stream.splitter.capacity());
                         match events {
+                            _ if charged.is_err() => AttemptEnd::Broken,
                             Some(events) => return Some((Ok(Frame::data(events)), self)),
                             None => continue,
                         }
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use base::{SortedMap, Time};
+use buffer::{read_body, BufferOwner, BufferPool};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
@@ -16,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::logging::LogLine;
+
 /// Keep-alive probes: the idle time before the first one and the interval between them, and their
 /// number. A dead connection is noticed within three seconds.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -28,8 +31,6 @@
 const MAX_IDLE: usize = 8;
 /// Most refusals on a connection that is used again.
 const MAX_REFUSED: usize = 16;
-/// Largest body of an answer to a call.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Sets the options of a TCP connection: no delay, keep-alive probes, and a limit for
 /// unacknowledged data.
@@ -129,17 +130,21 @@
         }
     }
 
-    /// Makes a call and reads the complete answer.
+    /// Makes a call and reads the complete answer, of at most `limit` bytes.
     pub(crate) async fn call(
         &mut self,
         address: SocketAddr,
         call: &HttpCall,
         extra: Option<(HeaderName, HeaderValue)>,
+        (limit, buffers): (usize, &BufferPool),
     ) -> Result<Response<Bytes>, ConnError> {
         let request = to_request(address, call, extra).ok_or(ConnError::NotSent)?;
         let (head, body) = self.exchange(request).await?.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|_| ConnError::Lost)?.to_bytes();
+        let buffer = buffers.open(BufferOwner::Server(address));
+        let body = read_body(body, limit, buffer).await.map_err(|error| {
+            LogLine::new("answer_unread").text("address", &address).text("error", &error).info();
+            ConnError::Lost
+        })?;
         Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -45,6 +45,14 @@
         self.is_split
     }
 
+    /// Returns the memory that the incomplete event takes, in bytes.
+    pub(crate) fn capacity(&self) -> usize {
+        if self.partial.is_empty() {
+            return 0;
+        }
+        self.partial.capacity()
+    }
+
     /// Returns the bytes after the last complete event.
     pub(crate) fn finish(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use base::{TargetName, Time};
+use buffer::{read_body, skip_body, BodyError, BufferCharge, BufferError, BufferOwner};
 use bytes::Bytes;
 use daemon::boot_time;
 use front::{AttemptEnd, Dispatch, RequestDispatcher};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -26,6 +27,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Largest answer that is buffered before it is passed on.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
+/// Longest body of a refusal that is read so that its connection can be reused, and the time limit
+/// of reading it. The rest of a refusal is worth no more than a new connection.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Oldest dispatch decision on which a request is sent. If the process was held up for longer, the
 /// target may have left, and the dispatcher decides again.
 const MAX_DECISION_AGE: Duration = Duration::from_millis(900);
@@ -71,6 +76,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) first_events: Option<Bytes>,
     pub(crate) splitter: EventSplitter,
+    /// Memory of the event that is incomplete.
+    pub(crate) charge: BufferCharge,
     pub(crate) body: Incoming,
     pub(crate) conn: PooledConn,
     pub(crate) address: SocketAddr,
@@ -204,8 +211,8 @@
     if let Some(end) = classify_answer(&head, response.status(), dispatch, conn.is_used) {
         if end.is_not_run() && end != AttemptEnd::Replaced {
             conn.record_refusal(request.attempt_id.as_ref());
-            // A refusal is short. Once it has been read, the connection can be reused.
-            if Limited::new(response.into_body(), MAX_BUFFERED_BYTES).collect().await.is_ok() {
+            let skipping = skip_body(response.into_body(), MAX_REFUSAL_BYTES);
+            if let Ok(Ok(())) = tokio::time::timeout(REFUSAL_TIMEOUT, skipping).await {
                 host.conn_pool.borrow_mut().put(boot_time(), dispatch.address, conn);
             }
         }
@@ -230,19 +237,33 @@
         )
         .await;
     }
-    let Ok(body) = Limited::new(response.into_body(), MAX_BUFFERED_BYTES).collect().await else {
-        return AttemptOutcome::End(AttemptEnd::Broken);
+    let buffer = host.request_buffers.open(BufferOwner::Server(dispatch.address));
+    let body = match read_body(response.into_body(), MAX_BUFFERED_BYTES, buffer).await {
+        Ok(body) => body,
+        Err(error) => {
+            log_unread(host, "answer_unread", dispatch.address, error);
+            return AttemptOutcome::End(AttemptEnd::Broken);
+        }
     };
     let now = boot_time();
     host.dispatcher.borrow_mut().record_answer_start(now, id, head.load);
     host.conn_pool.borrow_mut().put(now, dispatch.address, conn);
-    let answer = CompleteAnswer { status, headers, body: body.to_bytes() };
+    let answer = CompleteAnswer { status, headers, body };
     if status.is_server_error() {
         return AttemptOutcome::Failed(answer);
     }
     AttemptOutcome::Complete(answer)
 }
 
+/// Logs why a target's answer was not read to its end, with the memory that all buffers take.
+pub(crate) fn log_unread(host: &Host, event: &'static str, address: SocketAddr, error: BodyError) {
+    LogLine::new(event)
+        .text("address", &address)
+        .text("error", &error)
+        .with("buffered", host.request_buffers.usage().used.0)
+        .info();
+}
+
 /// Applies what a target asks of this daemon in the headers of an answer of any kind: to send
 /// nothing more because the target leaves, or to pause.
 pub(crate) fn apply_target_notice(host: &Host, target: &TargetName, notice: TargetNotice) {
@@ -329,8 +350,16 @@
     (conn, address): (PooledConn, SocketAddr),
 ) -> AttemptOutcome {
     let mut splitter = EventSplitter::default();
+    let mut charge = host.request_buffers.charge(BufferOwner::Server(address));
     loop {
-        let frame = match body.frame().await {
+        let frame = tokio::select! {
+            () = charge.evicted() => {
+                log_unread(host, "stream_unread", address, BufferError::Evicted.into());
+                return AttemptOutcome::End(AttemptEnd::Broken);
+            }
+            frame = body.frame() => frame,
+        };
+        let frame = match frame {
             Some(Ok(frame)) => frame,
             None if splitter.is_inside_event() || ends_by_close => {
                 return AttemptOutcome::End(AttemptEnd::Broken);
@@ -342,13 +371,19 @@
             }
             Some(Err(_)) => return AttemptOutcome::End(AttemptEnd::Broken),
         };
-        let Some(events) = frame.data_ref().and_then(|data| splitter.push(data)) else { continue };
+        let events = frame.data_ref().and_then(|data| splitter.push(data));
+        if let Err(error) = charge.resize(splitter.capacity()) {
+            log_unread(host, "stream_unread", address, error.into());
+            return AttemptOutcome::End(AttemptEnd::Broken);
+        }
+        let Some(events) = events else { continue };
         if broken.is_some_and(|broken| !continue_after(&events, &broken.last_event)) {
             return AttemptOutcome::End(AttemptEnd::Broken);
         }
         host.dispatcher.borrow_mut().record_answer_start(boot_time(), id, head.load);
         let first_events = Some(events);
-        let open = OpenStream { status, headers, first_events, splitter, body, conn, address };
-        return AttemptOutcome::Stream(Box::new(open));
+        let stream =
+            OpenStream { status, headers, first_events, splitter, charge, body, conn, address };
+        return AttemptOutcome::Stream(Box::new(stream));
     }
 }
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{Name, Revision, SortedMap, Time};
+use base::{ByteSize, Name, Revision, SortedMap, Time};
+use buffer::BufferPool;
 use daemon::boot_time;
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher};
@@ -27,6 +28,10 @@
 /// Number of cores with which a daemon can lead a fleet of any size.
 pub(crate) const ANY_FLEET_CPU_SHARE: f64 = 0.5;
 
+/// Most memory for buffered messages of the store, of peers and of engines. It is separate, so that
+/// clients and targets can't displace what keeps the daemon in the fleet.
+const CONTROL_BUFFERS: ByteSize = ByteSize(24 << 20);
+
 /// A request must be sent at least this long before a target's drain time could be over, in case
 /// the daemon has not learnt that the target leaves.
 const SEND_MARGIN: Duration = Duration::from_millis(100);
@@ -51,6 +56,12 @@
     /// Connections that only carry engines' reports. A late answer on one of them is an older
     /// report, which its sequence number shows.
     pub(crate) report_conn_pool: RefCell<ConnPool>,
+    /// Memory for clients' bodies and targets' answers.
+    pub(crate) request_buffers: BufferPool,
+    /// Memory for messages of the store, of peers and of engines.
+    pub(crate) control_buffers: BufferPool,
+    /// Number of requests and messages that have been received.
+    received_count: Cell<u64>,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
     pub(crate) dropped_lines: DropCounter,
@@ -100,6 +111,7 @@
         dropped_lines: DropCounter,
     ) -> Host {
         let incarnation = rand::random::<u64>() >> 11;
+        let control_buffers = BufferPool::new(CONTROL_BUFFERS);
         let config = DispatcherConfig::new(settings.host.clone(), settings.domain.clone())
             .seed(incarnation)
             .return_grace(settings.return_grace)
@@ -110,7 +122,10 @@
             dispatcher: RefCell::new(RequestDispatcher::new(boot_time(), config)),
             conn_pool: RefCell::default(),
             report_conn_pool: RefCell::default(),
-            store: StoreClient::new(settings.store, settings.call_timeout),
+            request_buffers: BufferPool::new(settings.buffers),
+            store: StoreClient::new(settings.store, settings.call_timeout, control_buffers.clone()),
+            control_buffers,
+            received_count: Cell::new(0),
             metrics,
             dropped_lines,
             leader_entry: RefCell::default(),
@@ -135,6 +150,11 @@
         }
     }
 
+    /// Returns a number that identifies a received request or message in this process.
+    pub(crate) fn next_request_number(&self) -> u64 {
+        self.received_count.replace(self.received_count.get() + 1)
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn metrics_text(&self) -> String {
         let dispatcher = self.dispatcher.borrow();
@@ -156,6 +176,9 @@
             lines_dropped: self.dropped_lines.total(),
             is_leading: self.leader_state.borrow().is_some(),
             layout_version: dispatcher.version().0,
+            resident_bytes: resident_bytes(),
+            request_buffers: self.request_buffers.usage(),
+            control_buffers: self.control_buffers.usage(),
         })
     }
 
@@ -186,6 +209,13 @@
     }
 }
 
+/// Returns the resident memory of this process in bytes; zero if the system doesn't report it.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * rustix::param::page_size() as u64
+}
+
 /// Sleeps until a time of the boot clock. The timer doesn't count the time for which the machine is
 /// suspended, so the caller must check the clock again.
 pub(crate) async fn sleep_until(moment: Time) {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use buffer::PoolUsage;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -32,10 +33,13 @@
     lines_dropped: Gauge<i64>,
     leading: Gauge<i64>,
     layout_version: Gauge<u64, AtomicU64>,
+    resident_bytes: Gauge<u64, AtomicU64>,
+    buffered_bytes: Family<Labels, Gauge<u64, AtomicU64>>,
+    buffer_evictions: Family<Labels, Gauge<u64, AtomicU64>>,
 }
 
 /// Values that are sampled when the metrics are read.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Readings {
     pub(crate) sends: u64,
     pub(crate) repeats: u64,
@@ -49,6 +53,9 @@
     pub(crate) lines_dropped: u64,
     pub(crate) is_leading: bool,
     pub(crate) layout_version: u64,
+    pub(crate) resident_bytes: u64,
+    pub(crate) request_buffers: PoolUsage,
+    pub(crate) control_buffers: PoolUsage,
 }
 
 impl Metrics {
@@ -74,6 +81,9 @@
             lines_dropped: Gauge::default(),
             leading: Gauge::default(),
             layout_version: Gauge::default(),
+            resident_bytes: Gauge::default(),
+            buffered_bytes: Family::default(),
+            buffer_evictions: Family::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Answers by status", metrics.answers.clone());
@@ -125,6 +135,21 @@
             "Configuration in force",
             metrics.layout_version.clone(),
         );
+        registry.register(
+            "resident_bytes",
+            "Resident memory of the process",
+            metrics.resident_bytes.clone(),
+        );
+        registry.register(
+            "buffered_bytes",
+            "Memory of buffered bodies",
+            metrics.buffered_bytes.clone(),
+        );
+        registry.register(
+            "buffer_evictions",
+            "Bodies that were evicted because the buffers were full",
+            metrics.buffer_evictions.clone(),
+        );
         Metrics { registry, ..metrics }
     }
 
@@ -164,6 +189,13 @@
         self.lines_dropped.set(to_gauge(readings.lines_dropped));
         self.leading.set(i64::from(readings.is_leading));
         self.layout_version.set(readings.layout_version);
+        self.resident_bytes.set(readings.resident_bytes);
+        let pools = [("requests", readings.request_buffers), ("control", readings.control_buffers)];
+        for (name, usage) in pools {
+            let labels = [("pool", name.to_owned())];
+            self.buffered_bytes.get_or_create(&labels).set(usage.used.0);
+            self.buffer_evictions.get_or_create(&labels).set(usage.evictions);
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             crate::logging::LogLine::new("metrics_failed").text("error", &error).warn();
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -21,6 +21,9 @@
 /// Time limit of an order and of reading an engine's report.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Largest answer to an order, and largest report.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// State that exists only while this daemon leads.
 pub(crate) struct LeaderState {
     pub(crate) leader: Leader,
@@ -141,7 +144,8 @@
             Some(conn) => conn,
             None => PooledConn::open(address, CONNECT_TIMEOUT).await?,
         };
-        let answer = conn.call(address, &report_call(), instance_header(target)).await.ok()?;
+        let (call, buffers) = (report_call(), (MAX_ANSWER_BYTES, &host.control_buffers));
+        let answer = conn.call(address, &call, instance_header(target), buffers).await.ok()?;
         host.report_conn_pool.borrow_mut().put(boot_time(), address, conn);
         Some(answer)
     };
@@ -178,7 +182,8 @@
         return OrderReply::NotSent;
     }
     let call = order_call(order);
-    let sending = conn.call(address, &call, instance_header(&order.target));
+    let buffers = (MAX_ANSWER_BYTES, &host.control_buffers);
+    let sending = conn.call(address, &call, instance_header(&order.target), buffers);
     match tokio::time::timeout(ENGINE_TIMEOUT, sending).await {
         Ok(Ok(answer)) => {
             let notice = read_notice(answer.status(), answer.headers());
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use base::{TargetName, Time};
+use buffer::{read_body, BufferOwner};
 use bytes::Bytes;
 use daemon::boot_time;
 use fleet::{
@@ -13,7 +14,6 @@
     SyncReport,
 };
 use front::{FetchEnd, PermitEnd};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use lead::AdapterState;
@@ -214,7 +214,8 @@
             Some(conn) => conn,
             None => PooledConn::open(address, CONNECT_TIMEOUT).await?,
         };
-        let answer = conn.call(address, &call, None).await.ok()?;
+        let buffers = (MAX_MESSAGE_BYTES, &host.control_buffers);
+        let answer = conn.call(address, &call, None, buffers).await.ok()?;
         host.conn_pool.borrow_mut().put(boot_time(), address, conn);
         (answer.status() == StatusCode::OK).then(|| answer.into_body())
     };
@@ -233,8 +234,14 @@
     request: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, Infallible> {
     let path = request.uri().path().to_owned();
-    let reading = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await;
-    let body = reading.map(|body| body.to_bytes()).unwrap_or_default();
+    let buffer = host.control_buffers.open(BufferOwner::Request(host.next_request_number()));
+    let body = match read_body(request.into_body(), MAX_MESSAGE_BYTES, buffer).await {
+        Ok(body) => body,
+        Err(error) => {
+            LogLine::new("message_unread").with("path", path.as_str()).text("error", &error).info();
+            Bytes::new()
+        }
+    };
     let answer = match path.as_str() {
         SYNC_PATH => from_json(&body).and_then(|report| to_json(&apply_report(&host, &report)?)),
         PERMIT_PATH => from_json(&body).and_then(|ask| to_json(&issue_permit(&host, &ask)?)),
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{DomainName, Name};
-use daemon::{parse_address, IniReader, KnownSection, SettingsError, ADDRESS_FORM};
+use base::{ByteSize, DomainName, Name};
+use daemon::{parse_address, IniReader, KnownSection, SettingsError, ADDRESS_FORM, SIZE_FORM};
 use log::LevelFilter;
 
 const KNOWN_KEYS: [KnownSection; 4] = [
@@ -43,6 +43,7 @@
             "retry_extra",
             "retry_window",
             "load_window",
+            "buffers",
         ],
     ),
     ("log", &["level", "lines_per_second"]),
@@ -51,6 +52,9 @@
 /// Default of `watch_pause` in percent of `drain`.
 const WATCH_PAUSE_PERCENT: u64 = 30;
 
+/// Default of `buffers`.
+const DEFAULT_BUFFERS: ByteSize = ByteSize(32 << 20);
+
 /// Settings of a daemon on the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FrontSettings {
@@ -99,6 +103,8 @@
     pub retry_window: Duration,
     /// Window in which model loads from the weight store are counted.
     pub load_window: Duration,
+    /// Most memory for clients' bodies and targets' answers that are buffered.
+    pub buffers: ByteSize,
     /// Least severe level that is logged.
     pub log_level: LevelFilter,
     /// Most log lines per second; the rest are counted and dropped.
@@ -138,6 +144,7 @@
         let (retry_ratio, retry_extra) = (ratio("retry_ratio", 0.2), ratio("retry_extra", 50.0));
         let fences_checked =
             reader.value("limits", "fences_checked", "true or false", |text| text.parse().ok());
+        let buffers = reader.value("limits", "buffers", SIZE_FORM, |text| text.parse().ok());
         let log_level =
             reader.value("log", "level", "off, error, warn, info, debug or trace", |text| {
                 text.parse().ok()
@@ -162,6 +169,7 @@
             retry_window: reader.duration("limits", "retry_window", 10_000),
             load_window: reader.duration("limits", "load_window", 5_000),
             fences_checked: fences_checked.unwrap_or(false),
+            buffers: buffers.unwrap_or(DEFAULT_BUFFERS),
             retry_ratio,
             retry_extra,
             log_level: log_level.unwrap_or(LevelFilter::Info),
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::{Revision, StoreEra, Time};
+use buffer::BufferPool;
 use bytes::Bytes;
 use daemon::boot_time;
 use node::{KeyEvent, KeyValue, LeaseId, StoreTxn};
@@ -19,6 +20,8 @@
 /// Longest idle time after which a connection to the store is reused. If the store has closed it,
 /// the cost is one more call: every call can be repeated, or its outcome found out.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Largest answer of the store.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// How much longer than its wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 
@@ -60,17 +63,19 @@
     address: SocketAddr,
     timeout: Duration,
     pool: RefCell<ConnPool>,
+    buffers: BufferPool,
     calls: Cell<u64>,
     /// Latest era of the store that an answer named; `None` before the first answer.
     era: Cell<Option<StoreEra>>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr, timeout: Duration) -> StoreClient {
+    pub(crate) fn new(address: SocketAddr, timeout: Duration, buffers: BufferPool) -> StoreClient {
         StoreClient {
             address,
             timeout,
             pool: RefCell::default(),
+            buffers,
             calls: Cell::new(0),
             era: Cell::new(None),
         }
@@ -206,7 +211,8 @@
                 PooledConn::open(self.address, CONNECT_TIMEOUT).await.ok_or(StoreError::NotSent)?
             }
         };
-        let answer = tokio::time::timeout(limit, conn.call(self.address, call, None)).await;
+        let reading = conn.call(self.address, call, None, (MAX_ANSWER_BYTES, &self.buffers));
+        let answer = tokio::time::timeout(limit, reading).await;
         match answer {
             Ok(Ok(answer)) => {
                 self.pool.borrow_mut().put(boot_time(), self.address, conn);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Revision;
+use base::{ByteSize, Revision};
+use buffer::{read_body, BufferOwner, BufferPool};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -61,6 +62,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     stats: CallStats,
+    /// Memory for answers; all clones of the client share it.
+    buffers: BufferPool,
 }
 
 impl KvClient {
@@ -72,7 +75,8 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .build(connector);
-        KvClient { client, address, stats }
+        let buffers = BufferPool::new(ByteSize(MAX_ANSWER_BYTES as u64));
+        KvClient { client, address, stats, buffers }
     }
 
     /// Runs a transaction.
@@ -176,8 +180,9 @@
     ) -> Result<A, KvError> {
         let exchange = async {
             let response = self.post(path, request).await?;
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|_| KvError::Unknown)?.to_bytes();
+            let buffer = self.buffers.open(BufferOwner::Server(self.address));
+            let body = read_body(response.into_body(), MAX_ANSWER_BYTES, buffer).await;
+            let body = body.map_err(|_| KvError::Unknown)?;
             self.stats.add(3, body.len() as u64);
             serde_json::from_slice(&body).map_err(|_| KvError::Unknown)
         };
--- a/crates/store/src/host.rs
+++ b/crates/store/src/host.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{DomainName, Name};
+use base::{ByteSize, DomainName, Name};
+use buffer::{read_body, BufferOwner, BufferPool};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::Request;
 use hyper_util::rt::TokioIo;
 use node::{HostEntry, HostList, HostRole};
@@ -68,9 +69,11 @@
         .body(Empty::<Bytes>::new())
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
-    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await;
+    let buffers = BufferPool::new(ByteSize(2 * MAX_LIST_BYTES as u64));
+    let buffer = buffers.open(BufferOwner::Server(address));
+    let body = read_body(response.into_body(), MAX_LIST_BYTES, buffer).await;
     driver.abort();
-    let json: HostsJson = serde_json::from_slice(&body.ok()?.to_bytes()).ok()?;
+    let json: HostsJson = serde_json::from_slice(&body.ok()?).ok()?;
     let hosts = json.hosts.into_iter().map(HostEntry::from).collect();
     Some(HostList { hosts })
 }
