Read a configuration before other values that the leader leaves out

Cause: changes over 4 KB are relayed without their value. The keys were one list, last in, first out, and one was read per 600 ms. Records of crashes change all the time, so that they were always read before op/config, and nothing bounded how long it stayed unread.

Change: UnreadValues reads layouts, entries and records at a pace of their own, the longest unread first; a read that began before a change doesn't count for it; a change with its value counts if it was noted without; less urgent reads are interrupted; the leader returns the layout when the store doesn't. Metrics and log lines show what is unread.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,8 +40,8 @@
 };
 pub use share::{leaderless_rate, SpendRate, EVEN_SHARE_DELAY};
 pub use sync::{
-    AdapterReply, AdapterRequest, AllowanceRequest, LoadEstimate, ModelDemand, PermitReply,
-    PermitRequest, SyncReply, SyncReport, TargetOccupancy, TeamDraw, TeamGrant,
+    AdapterReply, AdapterRequest, AllowanceRequest, LayoutRequest, LoadEstimate, ModelDemand,
+    PermitReply, PermitRequest, SyncReply, SyncReport, TargetOccupancy, TeamDraw, TeamGrant,
 };
 pub use target::{
     HeldModel, ModelRef, PromptPart, TargetDeparture, TargetEntry, TargetLoad, TargetPhase,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -188,6 +188,13 @@
     pub wait_ms: Option<u64>,
 }
 
+/// A request to the leader for the layout, from a daemon that can't read it from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayoutRequest {
+    /// Revision of the oldest layout that is of use.
+    pub revision: Revision,
+}
+
 /// A request to the leader for a permit to send one request to a limited target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -39,6 +39,7 @@
 mod relay;
 mod requests;
 mod target;
+mod unread;
 mod updates;
 mod weights;
 mod window;
@@ -50,5 +51,6 @@
 pub use pool::{SeatRoster, SeatTable, TokenPool};
 pub use relay::{ChangeLog, ListValidity, ReadPlan, RelayView, StoreRead};
 pub use target::TargetRecord;
+pub use unread::{UnreadValues, ValueClass, ValueRead};
 pub use weights::{WeightIndex, WeightTier};
 pub use window::LoadWindow;
--- /dev/null
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -0,0 +1,115 @@
+//! Configurations that the leader doesn't relay, because they are large.
+
+mod common;
+mod platform_fleet;
+
+use std::time::{Duration, Instant};
+
+use common::{eventually, run};
+use mangodeal::client::HttpCall;
+use platform_fleet::platform_standin::config;
+use platform_fleet::{FrontProcess, PlatformFleet};
+
+/// Time within which a configuration must be in force at all hosts.
+const APPLY_BOUND: Duration = Duration::from_millis(2_000);
+/// Number of configurations that a test writes.
+const CHANGES: u64 = 5;
+/// Number of other hosts that write evidence of crashes, and the pause between two records.
+const HOSTS: usize = 12;
+const RECORD_PAUSE: Duration = Duration::from_millis(150);
+/// Size of a host's record. The leader relays smaller ones.
+const RECORD_BYTES: usize = 6_000;
+
+/// Model names that make a configuration larger than what the leader relays.
+fn many_models() -> Vec<String> {
+    (0..60).map(|number| format!("model-{number:04}")).collect()
+}
+
+fn large_config(version: u64) -> serde_json::Value {
+    let models = many_models();
+    config(version, &models.iter().map(String::as_str).collect::<Vec<_>>())
+}
+
+async fn start_fleet(daemons: usize) -> PlatformFleet {
+    let models = many_models();
+    let names: Vec<&str> = models.iter().map(String::as_str).collect();
+    let fleet = PlatformFleet::start_with(daemons, &names).await;
+    eventually(Duration::from_secs(8), "all follow the leader", || async {
+        let follows = |front: &FrontProcess| {
+            front.log().iter().any(|line| line["event"] == "leads" || line["source"] == "leader")
+        };
+        fleet.fronts.iter().all(follows)
+    })
+    .await;
+    fleet
+}
+
+/// Returns the configuration in force at a daemon.
+async fn version_of(front: &FrontProcess) -> Option<u64> {
+    let answer = HttpCall::get(front.metrics, "/metrics").send().await.ok()?;
+    let bytes = answer.bytes().await.ok()?;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let line = text.lines().find_map(|line| line.strip_prefix("mangodeal_layout_version "))?;
+    line.parse().ok()
+}
+
+/// Writes configurations and returns, for each, the hosts at which it came into force too late.
+async fn late_hosts(fleet: &PlatformFleet) -> Vec<(u64, String)> {
+    let mut late = Vec::new();
+    for version in 10..10 + CHANGES {
+        fleet.store.put("op/config", &large_config(version));
+        let written_at = Instant::now();
+        let mut waiting: Vec<&FrontProcess> = fleet.fronts.iter().collect();
+        while !waiting.is_empty() && written_at.elapsed() < APPLY_BOUND {
+            let mut older = Vec::new();
+            for front in waiting {
+                if version_of(front).await != Some(version) {
+                    older.push(front);
+                }
+            }
+            waiting = older;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        late.extend(waiting.iter().map(|front| (version, front.name.clone())));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    late
+}
+
+/// Guards against a configuration that waits for other values which the leader doesn't relay:
+/// records of crashes that change all the time.
+#[test]
+fn layout_among_records() {
+    run(async {
+        let fleet = start_fleet(3).await;
+        let write_records = async {
+            for number in 0.. {
+                let key = format!("mango/crash/other-{}", number % HOSTS);
+                fleet.store.put_bytes(&key, &vec![b'x'; RECORD_BYTES]);
+                tokio::time::sleep(RECORD_PAUSE).await;
+            }
+        };
+        let change_layouts = async {
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            late_hosts(&fleet).await
+        };
+        tokio::select! {
+            () = write_records => {}
+            late = change_layouts => assert!(late.is_empty(), "too late: {late:?}"),
+        }
+    });
+}
+
+/// Guards against a daemon that keeps an old configuration because it reaches the leader but not
+/// the store.
+#[test]
+fn layout_without_store() {
+    run(async {
+        let fleet = start_fleet(3).await;
+        let leads = |front: &&FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
+        let follower = fleet.fronts.iter().find(|front| !leads(front)).unwrap();
+        follower.store.set_frozen(true);
+        let late = late_hosts(&fleet).await;
+        assert!(late.is_empty(), "too late: {late:?}");
+    });
+}
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -8,7 +8,7 @@
 use base::{Revision, TargetName, Time};
 use daemon::boot_time;
 use fleet::{StoreChange, TargetHoldings};
-use lead::{ReadPlan, StoreRead};
+use lead::{ReadPlan, StoreRead, ValueClass, ValueRead};
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, read_target, LAYOUT_KEY, TARGET_PREFIX};
 use platform::store::WatchReply;
@@ -17,8 +17,8 @@
 use crate::evidence::{self, EVIDENCE_PREFIX};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
-use crate::orders;
 use crate::store::StoreError;
+use crate::{orders, peer};
 
 /// First and longest pause after a failed call; the pause doubles with each further failure.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
@@ -39,6 +39,8 @@
 /// Least time between two answers of the leader's watch. It is short because all other daemons
 /// depend on it.
 const LEADER_PAUSE: Duration = Duration::from_millis(300);
+/// How long the store may take to return a layout before the daemon asks the leader for it.
+const LAYOUT_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Prefix of all keys that are followed.
 const ALL_PREFIX: &str = "";
 
@@ -57,10 +59,6 @@
     is_relayed: bool,
     /// Whether the next watch only reads the changes since the last relayed batch, without waiting.
     is_behind: bool,
-    /// Keys whose values the leader left out of its batches, and when the daemon last read one of
-    /// them.
-    omitted_keys: Vec<String>,
-    omitted_read_at: Time,
     /// Decides whether to read the complete state or only changes.
     plan: ReadPlan,
 }
@@ -76,8 +74,6 @@
         is_store_down: false,
         is_relayed: false,
         is_behind: false,
-        omitted_keys: Vec::new(),
-        omitted_read_at: Time::ZERO,
         plan: ReadPlan::new(now),
     };
     let mut pause = RETRY_PAUSE.0;
@@ -87,8 +83,8 @@
             false => None,
         };
         let step = match (relay_fresh_until, follower.plan.next(boot_time())) {
-            (_, StoreRead::Changes) if follower.is_omitted_read_due() => {
-                follower.read_omitted_value().await;
+            (_, StoreRead::Changes) if follower.has_due_read() => {
+                follower.read_unread_value().await;
                 Ok(())
             }
             (Some(until), _) => {
@@ -133,7 +129,7 @@
         let entries = with_prefix(TARGET_PREFIX).filter_map(parse_entry).collect();
         host.dispatcher.borrow_mut().targets_mut().replace_entries(now, entries, grace);
         host.has_listed.set(true);
-        self.omitted_keys.clear();
+        host.unread_values.borrow_mut().clear();
         self.plan.record_snapshot(now);
         self.mark_list_fresh();
         let hosts =
@@ -181,10 +177,8 @@
     /// Waits for changes that the leader relays and applies them.
     async fn follow_leader(&mut self, until: Time) {
         let host = self.host.clone();
-        let due = match self.omitted_keys.is_empty() {
-            true => until,
-            false => until.min(self.omitted_read_at + host.settings.watch_pause),
-        };
+        let next_read = host.unread_values.borrow().next_at();
+        let due = next_read.map_or(until, |next_read| until.min(next_read));
         tokio::select! {
             () = host.relay_changed.notified() => {}
             () = sleep_until(due) => {}
@@ -216,38 +210,63 @@
         }
     }
 
-    /// Returns whether to read a value now that the leader left out. Reads are spaced, because not
-    /// every state of a value that changes quickly is needed.
-    fn is_omitted_read_due(&self) -> bool {
-        let pause = self.host.settings.watch_pause;
-        !self.omitted_keys.is_empty() && boot_time().since(self.omitted_read_at) >= pause
+    /// Returns whether to read a value now that the leader left out.
+    fn has_due_read(&self) -> bool {
+        self.host.unread_values.borrow().next_at().is_some_and(|at| boot_time() >= at)
     }
 
-    /// Reads one value that the leader left out.
-    async fn read_omitted_value(&mut self) {
-        let Some(key) = self.omitted_keys.last().cloned() else { return };
+    /// Reads one value that the leader left out, unless a more urgent one becomes due meanwhile.
+    async fn read_unread_value(&mut self) {
         let host = self.host.clone();
-        self.omitted_read_at = boot_time();
-        let mut call = std::pin::pin!(host.store.read_key(&key));
+        let Some(read) = host.unread_values.borrow_mut().begin_read(boot_time()) else { return };
+        let is_layout = read.class == ValueClass::Layout;
+        let relay_at = boot_time() + LAYOUT_READ_TIMEOUT;
+        let mut call = std::pin::pin!(host.store.read_key(&read.key));
         let item = loop {
             tokio::select! {
                 item = &mut call => break item,
                 // The store may be unreachable for this daemon only, so relayed changes are still
                 // applied.
                 () = host.relay_changed.notified() => self.apply_relayed(),
+                () = sleep_until(relay_at), if is_layout => break Err(StoreError::Lost),
             }
-        };
-        let item = match item {
-            Ok(item) => item,
-            Err(error) => {
-                // The value is read again after a pause. Until then, relayed changes are still
-                // applied.
-                LogLine::new("value_unread").with("key", key.as_str()).text("error", &error).info();
+            if host.unread_values.borrow().is_overtaken(boot_time(), &read) {
                 return;
             }
         };
-        self.omitted_keys.retain(|omitted| *omitted != key);
-        if item.is_some_and(|item| self.apply_event(boot_time(), KeyEvent::Put(item))) {
+        match item {
+            Ok(item) => self.apply_read(&read, item, "store"),
+            Err(error) => {
+                let key = read.key.as_str();
+                LogLine::new("value_unread").with("key", key).text("error", &error).info();
+                host.unread_values.borrow_mut().fail_read(boot_time(), &read);
+                let relayed = match is_layout {
+                    true => peer::fetch_layout(&host, read.revision).await,
+                    false => None,
+                };
+                if let Some(value) = relayed {
+                    let key = read.key.clone();
+                    let item = KeyValue { key, value, revision: read.revision };
+                    self.apply_read(&read, Some(item), "leader");
+                }
+            }
+        }
+    }
+
+    /// Applies a value that the leader left out.
+    fn apply_read(&mut self, read: &ValueRead, item: Option<KeyValue>, source: &str) {
+        let now = boot_time();
+        let found = item.as_ref().map(|item| item.revision);
+        self.host.unread_values.borrow_mut().finish_read(now, read, found);
+        if read.class != ValueClass::Evidence {
+            LogLine::new("value_read")
+                .with("key", read.key.as_str())
+                .with("revision", found.map(Revision::number))
+                .with("noted_ms_ago", now.since(read.noted_at).as_millis() as u64)
+                .with("source", source)
+                .info();
+        }
+        if item.is_some_and(|item| self.apply_event(now, KeyEvent::Put(item))) {
             self.notify_changed();
         }
     }
@@ -282,6 +301,10 @@
                 // applied.
                 () = host.relay_changed.notified() => self.apply_relayed(),
             }
+            // The reply may lack a value that was noted meanwhile.
+            if self.has_due_read() {
+                return Ok(());
+            }
         };
         let (events, revision) = match reply {
             WatchReply::Changes(events, revision) => (events, revision),
@@ -315,20 +338,34 @@
         let mut is_relevant = false;
         // Relayed changes that were applied meanwhile may be newer.
         let applied = self.revision;
-        let known = changes.iter().filter(|change| change.revision() <= applied).count();
-        if known > 0 {
+        let unread = self.host.unread_values.borrow();
+        // A change that was applied without its value is new if it comes with the value.
+        let is_new = |change: &FollowedChange| {
+            change.revision() > applied
+                || matches!(change, FollowedChange::Event(event)
+                    if unread.is_unread(key_of(event), revision_of(event)))
+        };
+        let (new, known): (Vec<_>, Vec<_>) = changes.into_iter().partition(is_new);
+        drop(unread);
+        if !known.is_empty() {
             LogLine::new("changes_known")
-                .with("changes", known)
+                .with("changes", known.len())
                 .with("until", until.number())
                 .with("revision", applied.number())
                 .info();
         }
-        for change in changes.into_iter().filter(|change| change.revision() > applied) {
+        for change in new {
             is_relevant |= match change {
-                FollowedChange::Event(event) => self.apply_event(now, event),
-                FollowedChange::Omitted(key, _) => {
-                    if !self.omitted_keys.contains(&key) {
-                        self.omitted_keys.push(key);
+                FollowedChange::Event(event) => {
+                    let (key, revision) = (key_of(&event), revision_of(&event));
+                    self.host.unread_values.borrow_mut().resolve(key, revision);
+                    self.apply_event(now, event)
+                }
+                FollowedChange::Omitted(key, revision) => {
+                    let class = class_of(&key);
+                    self.host.unread_values.borrow_mut().note(now, class, &key, revision);
+                    if class == ValueClass::Layout {
+                        LogLine::new("layout_noted").with("revision", revision.number()).info();
                     }
                     false
                 }
@@ -356,6 +393,7 @@
     }
 
     fn apply_layout(&self, item: &KeyValue) -> bool {
+        *self.host.layout_item.borrow_mut() = Some(item.clone());
         let layout = match read_layout(&item.value) {
             Ok(layout) => Arc::new(layout),
             Err(error) => {
@@ -535,6 +573,17 @@
     }
 }
 
+/// Returns how urgent the value of a key is.
+fn class_of(key: &str) -> ValueClass {
+    if key == LAYOUT_KEY {
+        ValueClass::Layout
+    } else if key.starts_with(TARGET_PREFIX) {
+        ValueClass::Target
+    } else {
+        ValueClass::Evidence
+    }
+}
+
 fn target_name(key: &str) -> Option<TargetName> {
     key.strip_prefix(TARGET_PREFIX)?.parse().ok()
 }
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -10,8 +10,8 @@
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher};
 
-use lead::{ListValidity, RelayView, SeatRoster};
-use node::LeaseId;
+use lead::{ListValidity, RelayView, SeatRoster, UnreadValues, ValueClass};
+use node::{KeyValue, LeaseId};
 use tokio::sync::Notify;
 
 use crate::conn::ConnPool;
@@ -80,6 +80,10 @@
     pub(crate) relay_view: Cell<RelayView>,
     /// Batches that the leader has relayed and the follower has not applied yet.
     pub(crate) relayed_batches: RefCell<Vec<ChangeBatch>>,
+    /// Values that the leader left out of its batches and that have not been read.
+    pub(crate) unread_values: RefCell<UnreadValues>,
+    /// The latest layout as it was read, for daemons that can't read it.
+    pub(crate) layout_item: RefCell<Option<KeyValue>>,
     /// Notified when the leader has answered a report or stayed silent.
     pub(crate) relay_changed: Notify,
     /// Notified when the list of targets is fresh again.
@@ -135,6 +139,8 @@
             known_revision: Cell::new(Revision(0)),
             relay_view: Cell::new(RelayView::new(settings.drain.saturating_sub(RELAY_MARGIN))),
             relayed_batches: RefCell::default(),
+            unread_values: RefCell::new(UnreadValues::new(settings.watch_pause)),
+            layout_item: RefCell::default(),
             relay_changed: Notify::new(),
             list_refreshed: Notify::new(),
             state_changed: Notify::new(),
@@ -159,6 +165,7 @@
     pub(crate) fn metrics_text(&self) -> String {
         let dispatcher = self.dispatcher.borrow();
         let counts = dispatcher.counts();
+        let unread = self.unread_values.borrow();
         let count_verdicts = |are_requests: bool| {
             let verdicts = dispatcher.ledger().verdicts().iter();
             verdicts.filter(|verdict| verdict.request().is_some() == are_requests).count()
@@ -176,6 +183,8 @@
             lines_dropped: self.dropped_lines.total(),
             is_leading: self.leader_state.borrow().is_some(),
             layout_version: dispatcher.version().0,
+            layout_unread: unread.unread_since(ValueClass::Layout).map(|at| boot_time().since(at)),
+            unread_values: unread.count(),
             resident_bytes: resident_bytes(),
             request_buffers: self.request_buffers.usage(),
             control_buffers: self.control_buffers.usage(),
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -33,6 +33,8 @@
     lines_dropped: Gauge<i64>,
     leading: Gauge<i64>,
     layout_version: Gauge<u64, AtomicU64>,
+    layout_unread_ms: Gauge<u64, AtomicU64>,
+    unread_values: Gauge<i64>,
     resident_bytes: Gauge<u64, AtomicU64>,
     buffered_bytes: Family<Labels, Gauge<u64, AtomicU64>>,
     buffer_evictions: Family<Labels, Gauge<u64, AtomicU64>>,
@@ -53,6 +55,9 @@
     pub(crate) lines_dropped: u64,
     pub(crate) is_leading: bool,
     pub(crate) layout_version: u64,
+    /// Time since when a newer layout is known but unread.
+    pub(crate) layout_unread: Option<Duration>,
+    pub(crate) unread_values: usize,
     pub(crate) resident_bytes: u64,
     pub(crate) request_buffers: PoolUsage,
     pub(crate) control_buffers: PoolUsage,
@@ -81,6 +86,8 @@
             lines_dropped: Gauge::default(),
             leading: Gauge::default(),
             layout_version: Gauge::default(),
+            layout_unread_ms: Gauge::default(),
+            unread_values: Gauge::default(),
             resident_bytes: Gauge::default(),
             buffered_bytes: Family::default(),
             buffer_evictions: Family::default(),
@@ -135,6 +142,16 @@
             "Configuration in force",
             metrics.layout_version.clone(),
         );
+        registry.register(
+            "layout_unread_ms",
+            "Time since when a newer configuration is known but not in force",
+            metrics.layout_unread_ms.clone(),
+        );
+        registry.register(
+            "unread_values",
+            "Values that the leader doesn't relay and that are unread",
+            metrics.unread_values.clone(),
+        );
         registry.register(
             "resident_bytes",
             "Resident memory of the process",
@@ -189,6 +206,9 @@
         self.lines_dropped.set(to_gauge(readings.lines_dropped));
         self.leading.set(i64::from(readings.is_leading));
         self.layout_version.set(readings.layout_version);
+        let unread = readings.layout_unread.unwrap_or_default().as_millis();
+        self.layout_unread_ms.set(u64::try_from(unread).unwrap_or(u64::MAX));
+        self.unread_values.set(to_count(readings.unread_values));
         self.resident_bytes.set(readings.resident_bytes);
         let pools = [("requests", readings.request_buffers), ("control", readings.control_buffers)];
         for (name, usage) in pools {
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{TargetName, Time};
+use base::{Revision, TargetName, Time};
 use buffer::{read_body, BufferOwner};
 use bytes::Bytes;
 use daemon::boot_time;
 use fleet::{
-    AdapterReply, AdapterRequest, ChangeBatch, ModelRef, PermitReply, PermitRequest, SyncReply,
-    SyncReport,
+    AdapterReply, AdapterRequest, ChangeBatch, LayoutRequest, ModelRef, PermitReply, PermitRequest,
+    SyncReply, SyncReport,
 };
 use front::{FetchEnd, PermitEnd};
 use hyper::body::Incoming;
@@ -31,6 +31,8 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit of a report to the leader.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time limit of a request for the layout, whose answer may be large.
+const LAYOUT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a request waits for an adapter.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time limit of a request for a permit, which is valid for little longer.
@@ -44,6 +46,7 @@
 const SYNC_PATH: &str = "/sync";
 const ADAPTER_PATH: &str = "/adapter";
 const PERMIT_PATH: &str = "/permit";
+const LAYOUT_PATH: &str = "/layout";
 
 /// Sends a report to the leader whenever one is due.
 pub(crate) async fn run_sync_loop(host: Rc<Host>) {
@@ -206,6 +209,34 @@
     message: &M,
     limit: Duration,
 ) -> Option<A> {
+    let body = post_to_peer(host, address, path, message, limit).await?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Asks the leader for a layout of at least this revision.
+pub(crate) async fn fetch_layout(host: &Host, revision: Revision) -> Option<Vec<u8>> {
+    let address = host.leader_entry.borrow().as_ref().map(|entry| entry.address)?;
+    let message = LayoutRequest { revision };
+    let body = post_to_peer(host, address, LAYOUT_PATH, &message, LAYOUT_TIMEOUT).await?;
+    Some(body.to_vec())
+}
+
+/// Returns the layout for a peer, unless this daemon has only an older one.
+fn relay_layout(host: &Host, request: &LayoutRequest) -> Option<Bytes> {
+    let item = host.layout_item.borrow();
+    let item = item.as_ref().filter(|item| item.revision >= request.revision)?;
+    Some(Bytes::from(item.value.clone()))
+}
+
+/// Sends a message to a peer and returns the body of its answer. Returns `None` if that fails or
+/// takes longer than `limit`.
+async fn post_to_peer<M: Serialize>(
+    host: &Host,
+    address: SocketAddr,
+    path: &str,
+    message: &M,
+    limit: Duration,
+) -> Option<Bytes> {
     let body = serde_json::to_vec(message).ok()?;
     let call = HttpCall { method: Method::POST, path: path.to_owned(), body };
     let exchange = async {
@@ -220,7 +251,7 @@
         (answer.status() == StatusCode::OK).then(|| answer.into_body())
     };
     match tokio::time::timeout(limit, exchange).await {
-        Ok(body) => serde_json::from_slice(&body?).ok(),
+        Ok(body) => body,
         Err(_) => {
             host.conn_pool.borrow_mut().remove_all(address);
             None
@@ -244,6 +275,7 @@
     };
     let answer = match path.as_str() {
         SYNC_PATH => from_json(&body).and_then(|report| to_json(&apply_report(&host, &report)?)),
+        LAYOUT_PATH => from_json(&body).and_then(|ask| relay_layout(&host, &ask)),
         PERMIT_PATH => from_json(&body).and_then(|ask| to_json(&issue_permit(&host, &ask)?)),
         ADAPTER_PATH => match from_json::<AdapterRequest>(&body) {
             Some(message) if host.leader_state.borrow().is_some() => {
