Count loads without a reply as held after an engine restarts

Cause: an order's expected number protects it only against orders to the same start of an engine. A restart under the same name counts anew, and the leader forgot at a new start which orders had got no reply, so that its own orders brought the count to the number of a late one.

What they may load counts as held, all of them fit together, and an order is sent only to the start for which it was decided. Where fences aren't checked, recent starts wait for orders of former leaders. An adapter is loaded only if it fits into memory.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -40,6 +40,8 @@
     pub issuer: Name,
     /// Fencing token of the issuer's term.
     pub fence: u64,
+    /// Start of the engine for which the order was decided, in Unix milliseconds.
+    pub born_ms: u64,
 }
 
 /// The result of sending an order.
--- a/crates/lead/src/adapters.rs
+++ b/crates/lead/src/adapters.rs
@@ -111,26 +111,31 @@
         self.entries.iter().map(size).sum()
     }
 
-    /// Returns the load order of the next requested adapter, or the unload order that makes room
-    /// for it, if one can be sent now.
+    /// Returns the next requested adapter that isn't loaded, of a model that the target holds.
+    pub(crate) fn next_request(&mut self, models: &[HeldModel]) -> Option<ModelRef> {
+        let next = self.requested.iter().find(|requested| self.find_entry(requested).is_none());
+        let is_held = |next: &&ModelRef| models.iter().any(|held| held.name == next.model);
+        let next = next.filter(is_held).cloned();
+        if next.is_none() {
+            self.requested.clear();
+        }
+        next
+    }
+
+    /// Returns the load order of a requested adapter if the target has a place and memory for it, or the
+    /// unload order that makes room for it, if one can be sent now.
     pub(crate) fn next_order(
         &mut self,
         now: Time,
+        next: ModelRef,
         places: usize,
-        models: &[HeldModel],
+        has_memory: bool,
     ) -> Option<(OrderKind, ModelRef)> {
-        let next =
-            self.requested.iter().find(|requested| self.find_entry(requested).is_none()).cloned();
-        let is_held = |next: &ModelRef| models.iter().any(|held| held.name == next.model);
-        let Some(next) = next.filter(is_held) else {
-            self.requested.clear();
-            return None;
-        };
         let loading = self.entries.iter().filter(|entry| now < entry.ready_at).count();
         if loading >= MAX_ADAPTER_LOADS {
             return None;
         }
-        if self.entries.len() < places {
+        if self.entries.len() < places && has_memory {
             return Some((OrderKind::Load, next));
         }
         let idle = self.entries.iter().filter(|entry| now.since(entry.used_at) >= MIN_ADAPTER_IDLE);
--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -20,6 +20,7 @@
 use crate::pool::{SeatRoster, SeatTable, TokenPool};
 use crate::relay::ChangeLog;
 use crate::requests::RequestTable;
+use crate::stray::{StrayOrders, ORDER_LIFETIME};
 use crate::target::{LoadTask, TargetRecord};
 use crate::updates::{TargetUpdate, UpdateLog};
 use crate::weights::WeightIndex;
@@ -125,6 +126,8 @@
     term: LeaderTerm,
     layout: Option<Arc<FleetLayout>>,
     targets: SortedMap<TargetName, TargetRecord>,
+    /// Orders without a reply to targets that are no longer listed.
+    unlisted_orders: SortedMap<TargetName, StrayOrders>,
     weights: WeightIndex,
     /// The target that registered last at each address.
     targets_by_address: SortedMap<SocketAddr, TargetName>,
@@ -160,6 +163,7 @@
             term,
             layout: None,
             targets: SortedMap::default(),
+            unlisted_orders: SortedMap::default(),
             weights: WeightIndex::default(),
             targets_by_address: SortedMap::default(),
             initial_replicas: SortedMap::default(),
@@ -236,11 +240,13 @@
             self.updates.remove_limit(&name);
             if let Some(record) = self.targets.remove(&name) {
                 let address = record.entry.address;
+                self.unlisted_orders.insert(name.clone(), record.into_stray_orders(now));
                 if self.targets_by_address.get(&address) == Some(&name) {
                     self.targets_by_address.remove(&address);
                 }
             }
         }
+        self.unlisted_orders.retain(|_, orders| !orders.is_empty(now));
         for entry in entries {
             if self.engine_spec(entry).is_none() {
                 continue;
@@ -267,8 +273,14 @@
                     }
                     self.target_added_at = now;
                     self.targets_by_address.insert(entry.address, entry.name.clone());
-                    let mut record = TargetRecord::new(now, entry.clone());
+                    let strays = self.unlisted_orders.remove(&entry.name).unwrap_or_default();
+                    let mut record = TargetRecord::with_strays(now, entry.clone(), strays);
                     record.is_limited = self.limits.rate(&entry.name, entry.born_ms).is_some();
+                    if self.config.unchecked_since_ms.is_some() {
+                        let until = self.term.orders_from + ORDER_LIFETIME;
+                        let is_recent = self.config.has_recent_start(entry.born_ms, ORDER_LIFETIME);
+                        record.set_former_orders(until, is_recent);
+                    }
                     self.targets.insert(entry.name.clone(), record);
                 }
             }
@@ -401,12 +413,8 @@
         self.plan_loads(now);
         let may_order = self.may_order(now);
         let mut actions = Vec::new();
-        let places: Vec<usize> = self
-            .targets
-            .values()
-            .map(|record| self.engine_spec(&record.entry).map_or(0, |spec| spec.max_adapters))
-            .collect();
-        for ((name, record), places) in self.targets.iter_mut().zip(places) {
+        let layout = self.layout.clone();
+        for (name, record) in self.targets.iter_mut() {
             if record.poll_at().is_some_and(|at| now >= at) {
                 let next = self.permits.time_to_next(now, name, PermitUse::Report);
                 if !next.is_zero() {
@@ -424,7 +432,9 @@
                 record.delay_order(now + next);
                 continue;
             }
-            if let Some((kind, subject, expected)) = record.take_order(now, places) {
+            let service = layout.as_ref().and_then(|layout| layout.service(&record.entry.service));
+            let Some(spec) = service.and_then(|service| service.engine.as_ref()) else { continue };
+            if let Some((kind, subject, expected)) = record.take_order(now, spec) {
                 self.permits.take(now, name, PermitUse::Order).ok();
                 actions.push(LeaderAction::Order(EngineOrder {
                     target: name.clone(),
@@ -433,6 +443,7 @@
                     expected,
                     issuer: self.config.host.clone(),
                     fence: self.term.fence,
+                    born_ms: record.entry.born_ms,
                 }));
             }
         }
@@ -501,7 +512,10 @@
     ) -> bool {
         if let Some(record) = self.targets.get_mut(&order.target) {
             let task = record.task.clone();
-            record.handle_reply(now, reply);
+            match record.is_order_of_start(order) {
+                true => record.handle_reply(now, reply),
+                false => record.handle_former_reply(order, reply),
+            }
             self.record_load_end(now, &order.target, task);
         }
         reply != OrderReply::Fenced
--- a/crates/lead/src/leader/plan.rs
+++ b/crates/lead/src/leader/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{ModelName, SortedMap, TargetName, Time};
-use fleet::{EngineModel, EngineSpec, LoadEstimate};
+use fleet::{EngineModel, EngineSpec, LoadEstimate, ModelRef};
 
 use super::{Leader, LeaderEvent, LoadBacklog, LoadDecision, MIN_ARRIVALS};
 use crate::target::{LoadTask, TargetRecord, UNLOAD_SPAN};
@@ -413,8 +413,7 @@
         tier: Option<WeightTier>,
         counts: &SortedMap<ModelName, ReplicaCount>,
     ) -> Option<LoadChoice> {
-        let (victim, cost) =
-            self.choose_victim(now, record, spec, description.weight_mb, counts)?;
+        let (victim, cost) = self.choose_victim(now, record, spec, description, counts)?;
         let is_in_demand = self.demand.rate(now, &candidate.model) >= MIN_DEMAND_RATE;
         // A rarely used model that no request waits for may evict only where that costs nothing.
         let max_cost = match (candidate.is_extra, is_in_demand) {
@@ -495,17 +494,26 @@
         now: Time,
         record: &TargetRecord,
         spec: &EngineSpec,
-        needed_mb: f64,
+        needed: &EngineModel,
         counts: &SortedMap<ModelName, ReplicaCount>,
     ) -> Option<(Option<ModelName>, f64)> {
-        let free = record.free_mb(&spec.models, spec.weight_mb);
+        let load = ModelRef { model: needed.name.clone(), adapter: None };
+        if !record.has_stray_room(now, spec, &load) {
+            return None;
+        }
+        let needed_mb = needed.weight_mb;
+        let free = record.free_mb(now, &spec.models, spec.weight_mb, Some(&needed.name));
         if free >= needed_mb {
             return Some((None, 0.0));
         }
         let mut best: Option<(ModelName, f64)> = None;
         for held in record.models() {
             let model = &held.name;
-            let freed_mb = spec.models.get(model).map_or(0.0, |m| m.weight_mb);
+            // A model that a stray order may load again frees nothing.
+            let freed_mb = match record.has_stray_load(now, model) {
+                true => 0.0,
+                false => spec.models.get(model).map_or(0.0, |m| m.weight_mb),
+            };
             if free + freed_mb < needed_mb || self.demand.waiting(now, model) > 0 {
                 continue;
             }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -38,6 +38,7 @@
 mod pool;
 mod relay;
 mod requests;
+mod stray;
 mod target;
 mod unread;
 mod updates;
--- a/crates/lead/src/target.rs
+++ b/crates/lead/src/target.rs
@@ -4,11 +4,12 @@
 
 use base::{ModelName, SortedMap, Time};
 use fleet::{
-    EngineModel, EngineReport, HeldModel, ModelRef, OrderKind, OrderReply, OrderSequence,
-    TargetEntry, TargetPhase,
+    EngineModel, EngineOrder, EngineReport, EngineSpec, HeldModel, ModelRef, OrderKind, OrderReply,
+    OrderSequence, TargetEntry, TargetPhase,
 };
 
 use crate::adapters::AdapterTable;
+use crate::stray::{self, StrayOrders};
 
 /// A report may show a state this old. One that is requested sooner after an order may not include
 /// the effect of the order.
@@ -68,6 +69,7 @@
     models: Vec<HeldModel>,
     reports_busy: bool,
     pending: Option<PendingOrder>,
+    strays: StrayOrders,
     running: Option<RunningOrder>,
     /// Reports that were requested earlier may not show the latest order, and are ignored.
     reports_valid_from: Time,
@@ -92,12 +94,29 @@
     order_from: Time,
     /// Whether the target limits the requests of all daemons together.
     pub(crate) is_limited: bool,
+    /// Until when orders of an earlier leader may arrive, if the target doesn't refuse them.
+    former_orders_until: Time,
+    /// No order is sent before this time, because the target has restarted and may execute orders of an
+    /// earlier leader.
+    orders_held_until: Time,
 }
 
 impl TargetRecord {
     /// Creates the record of a target that has not been polled yet.
     pub fn new(now: Time, entry: TargetEntry) -> TargetRecord {
+        TargetRecord::with_strays(now, entry, StrayOrders::default())
+    }
+
+    /// Creates the record of a target to which orders were sent that got no reply, at an earlier
+    /// start of it.
+    pub(crate) fn with_strays(
+        now: Time,
+        entry: TargetEntry,
+        mut strays: StrayOrders,
+    ) -> TargetRecord {
+        strays.record_restart(now);
         TargetRecord {
+            strays,
             models: entry.models.clone(),
             entry,
             sequence: None,
@@ -119,13 +138,15 @@
             backoff_until: now,
             order_from: now,
             is_limited: false,
+            former_orders_until: Time::ZERO,
+            orders_held_until: Time::ZERO,
         }
     }
 
     /// Applies a listed entry, unless it belongs to an earlier start of the target.
     pub(crate) fn update_entry(&mut self, now: Time, entry: TargetEntry) {
         if entry.born_ms > self.entry.born_ms || entry.address != self.entry.address {
-            *self = TargetRecord::new(now, entry);
+            self.restart(now, entry);
             return;
         }
         if entry.born_ms < self.entry.born_ms {
@@ -142,10 +163,61 @@
         self.entry = entry;
     }
 
+    /// Sets until when orders of an earlier leader may arrive, for a target that doesn't refuse them. If
+    /// it has started recently, no order is sent before.
+    pub(crate) fn set_former_orders(&mut self, until: Time, is_recent: bool) {
+        self.former_orders_until = until;
+        if is_recent {
+            self.orders_held_until = until;
+        }
+    }
+
+    /// Replaces the record by that of a new start.
+    fn restart(&mut self, now: Time, entry: TargetEntry) {
+        let former = std::mem::replace(self, TargetRecord::new(now, entry));
+        self.former_orders_until = former.former_orders_until;
+        self.orders_held_until = former.former_orders_until;
+        self.strays = former.into_stray_orders(now);
+        self.strays.record_restart(now);
+    }
+
+    /// Returns the orders without a reply, with the pending one.
+    pub(crate) fn into_stray_orders(mut self, now: Time) -> StrayOrders {
+        if let Some(PendingOrder { kind, subject, expected }) = self.pending.take() {
+            self.strays.add(now, kind, subject, expected);
+        }
+        self.strays
+    }
+
+    /// Returns what orders to earlier starts may still load. What is held already isn't loaded again.
+    fn stray_loads(&self, now: Time) -> impl Iterator<Item = &ModelRef> {
+        let is_missing = |subject: &&ModelRef| match subject.adapter {
+            Some(_) => self.adapters.ready_at(subject).is_none(),
+            None => !self.holds(&subject.model),
+        };
+        self.strays.former_loads(now, self.sequence).filter(is_missing)
+    }
+
+    /// Returns whether all loads without a reply and the one of `needed` fit together. Otherwise the
+    /// target could accept too many of them after a restart.
+    pub(crate) fn has_stray_room(&self, now: Time, spec: &EngineSpec, needed: &ModelRef) -> bool {
+        let loads = stray::distinct(self.strays.unanswered_loads(now).chain([needed]));
+        let adapters = loads.iter().filter(|subject| subject.adapter.is_some()).count();
+        adapters <= spec.max_adapters
+            && stray::size_mb(&loads, &spec.models, spec.weight_mb) <= spec.weight_mb
+    }
+
+    /// Returns whether a stray order may load a model again after it was unloaded.
+    pub(crate) fn has_stray_load(&self, now: Time, model: &ModelName) -> bool {
+        let mut loads = self.strays.former_loads(now, self.sequence);
+        loads.any(|subject| subject.model == *model && subject.adapter.is_none())
+    }
+
     /// Returns whether the target takes orders, its state is known and it has nothing to do.
     pub(crate) fn is_idle(&self, now: Time) -> bool {
         self.is_ready()
             && now >= self.backoff_until
+            && now >= self.orders_held_until
             && !self.is_limited
             && self.sequence.is_some()
             && self.pending.is_none()
@@ -196,11 +268,22 @@
         self.adapters.touch(now, subject);
     }
 
-    /// Returns the memory of `total` that models and adapters leave free, in megabytes.
-    pub(crate) fn free_mb(&self, models: &SortedMap<ModelName, EngineModel>, total: f64) -> f64 {
+    /// Returns the memory of `total` that a load of the model `needed`, or of an adapter, may take, in
+    /// megabytes: what models, adapters and the loads of stray orders leave free.
+    pub(crate) fn free_mb(
+        &self,
+        now: Time,
+        models: &SortedMap<ModelName, EngineModel>,
+        total: f64,
+        needed: Option<&ModelName>,
+    ) -> f64 {
         let weight_of = |name: &ModelName| models.get(name).map_or(total, |model| model.weight_mb);
         let weights: f64 = self.models.iter().map(|held| weight_of(&held.name)).sum();
-        total - weights - self.adapters.size_mb(models)
+        let is_other =
+            |subject: &&ModelRef| needed != Some(&subject.model) || subject.adapter.is_some();
+        let strays = stray::distinct(self.stray_loads(now).filter(is_other));
+        let strays = stray::size_mb(&strays, models, total);
+        total - weights - self.adapters.size_mb(models) - strays
     }
 
     /// Sends nothing to the target before `until`.
@@ -269,7 +352,7 @@
             // The target has restarted; its listed entry will follow.
             let mut entry = self.entry.clone();
             entry.born_ms = report.born_ms.unwrap_or(entry.born_ms);
-            *self = TargetRecord::new(now, entry);
+            self.restart(now, entry);
         }
         if asked_at < self.reports_valid_from {
             return;
@@ -358,22 +441,38 @@
     pub(crate) fn take_order(
         &mut self,
         now: Time,
-        max_adapters: usize,
+        spec: &EngineSpec,
     ) -> Option<(OrderKind, ModelRef, OrderSequence)> {
         let expected = self.sequence?;
-        if now < self.backoff_until {
+        if now < self.backoff_until || now < self.orders_held_until {
             return None;
         }
         if self.pending.is_some() || self.running.is_some() || self.reports_busy || !self.is_ready()
         {
             return None;
         }
-        let adapter = self.adapters.next_order(now, max_adapters, &self.models);
+        let adapter = self.next_adapter_order(now, spec);
         let (kind, subject) = adapter.or_else(|| self.next_model_order(now))?;
         self.pending = Some(PendingOrder { kind, subject: subject.clone(), expected });
         Some((kind, subject, expected))
     }
 
+    fn next_adapter_order(
+        &mut self,
+        now: Time,
+        spec: &EngineSpec,
+    ) -> Option<(OrderKind, ModelRef)> {
+        let next = self.adapters.next_request(&self.models)?;
+        if !self.has_stray_room(now, spec, &next) {
+            return None;
+        }
+        let stray_adapters = self.stray_loads(now).filter(|subject| subject.adapter.is_some());
+        let places = spec.max_adapters.saturating_sub(stray_adapters.count());
+        let free = self.free_mb(now, &spec.models, spec.weight_mb, None);
+        let has_memory = spec.models.get(&next.model).is_some_and(|m| m.adapter_mb <= free);
+        self.adapters.next_order(now, next, places, has_memory)
+    }
+
     fn next_model_order(&mut self, now: Time) -> Option<(OrderKind, ModelRef)> {
         if let Some((model, unload_at)) = &self.retiring {
             if now < *unload_at {
@@ -386,6 +485,21 @@
         Some((OrderKind::Load, ModelRef { model: task.model.clone(), adapter: None }))
     }
 
+    /// Returns whether an order was decided for the present start of the target.
+    pub(crate) fn is_order_of_start(&self, order: &EngineOrder) -> bool {
+        order.born_ms == self.entry.born_ms
+    }
+
+    /// Processes the reply to an order that was decided for an earlier start.
+    pub(crate) fn handle_former_reply(&mut self, order: &EngineOrder, reply: OrderReply) {
+        if reply == OrderReply::Unknown {
+            return;
+        }
+        self.strays.remove(order.kind, &order.subject, order.expected);
+        // The new start may have executed it.
+        self.sequence = None;
+    }
+
     /// Processes the reply to the pending order.
     pub(crate) fn handle_reply(&mut self, now: Time, reply: OrderReply) {
         let Some(PendingOrder { kind, subject, expected }) = self.pending.take() else { return };
@@ -423,21 +537,30 @@
                 self.next_poll_at = now;
                 self.cancel_plans(&subject);
             }
+            OrderReply::Unknown => {
+                self.strays.add(now, kind, subject.clone(), expected);
+                self.expect_report(now);
+                self.cancel_plans(&subject);
+            }
             // The next report shows what the target did. Loads are planned again from that.
             OrderReply::Done
             | OrderReply::Conflict
             | OrderReply::Fenced
             | OrderReply::Invalid
-            | OrderReply::Misdirected
-            | OrderReply::Unknown => {
-                self.sequence = None;
-                self.reports_valid_from = now + REPORT_LAG;
-                self.next_poll_at = now + REPORT_LAG;
+            | OrderReply::Misdirected => {
+                self.expect_report(now);
                 self.cancel_plans(&subject);
             }
         }
     }
 
+    /// Sends no order before a report that was requested from now on.
+    fn expect_report(&mut self, now: Time) {
+        self.sequence = None;
+        self.reports_valid_from = now + REPORT_LAG;
+        self.next_poll_at = now + REPORT_LAG;
+    }
+
     fn cancel_plans(&mut self, subject: &ModelRef) {
         if subject.adapter.is_some() {
             self.adapters.cancel_request(subject);
--- a/crates/serve/src/election.rs
+++ b/crates/serve/src/election.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::{Revision, StoreEra};
-use daemon::boot_time;
+use daemon::{boot_time, wall_ms};
 use lead::{Leader, LeaderConfig, LeaderTerm};
 use node::{LeaseId, StoreTxn};
 use platform::store::{RenewalReply, TxnReply};
@@ -257,6 +257,10 @@
     let orders_from = if must_wait { LeaderTerm::first_order_at(now, order_gap) } else { now };
     let term = LeaderTerm { fence: fence.0, orders_from, until, is_first };
     let config = LeaderConfig::new(own_host).load_window(host.settings.load_window);
+    let config = match host.settings.fences_checked {
+        true => config,
+        false => config.unchecked_fences(wall_ms()),
+    };
     let mut leader = Leader::new(config, term);
     if let Some(layout) = host.dispatcher.borrow().layout() {
         leader.apply_layout(now, layout.clone());
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -165,10 +165,13 @@
 
 /// Sends an order to an engine, if the term still allows it.
 async fn send_order(host: &Host, order: &EngineOrder) -> OrderReply {
-    let Some(address) = host.dispatcher.borrow().targets().entry(&order.target).map(|e| e.address)
-    else {
-        return OrderReply::NotSent;
+    // An order is for one start of the engine.
+    let listed_address = || {
+        let dispatcher = host.dispatcher.borrow();
+        let entry = dispatcher.targets().entry(&order.target);
+        entry.filter(|entry| entry.born_ms <= order.born_ms).map(|entry| entry.address)
     };
+    let Some(address) = listed_address() else { return OrderReply::NotSent };
     // An answer doesn't say which order it belongs to. Each order gets a new connection, so that a
     // late answer to another order is never taken for its own.
     let Some(mut conn) = PooledConn::open(address, CONNECT_TIMEOUT).await else {
@@ -178,7 +181,7 @@
     let may_order = host.leader_state.borrow().as_ref().is_some_and(|state| {
         state.leader.term().fence == order.fence && state.leader.may_order(boot_time())
     });
-    if !may_order {
+    if !may_order || listed_address() != Some(address) {
         return OrderReply::NotSent;
     }
     let call = order_call(order);
