Don't count an adapter order that changed nothing

What callers saw: an engine could get more adapters than it has slots for, and crash.

Cause: 200 means that an unload was executed at once, which the engine counts, or that there was nothing to unload, which it doesn't. The leader counted both. Its next order had a number that the engine reached only later; if that order got no reply, it was executed beside another one.

Change: after a 200 to a load, or to the unload of an adapter that no report or accepted load confirms, the leader waits for a report.

--- a/crates/lead/src/adapters.rs
+++ b/crates/lead/src/adapters.rs
@@ -23,6 +23,8 @@
     subject: ModelRef,
     used_at: Time,
     ready_at: Time,
+    /// Whether the target has accepted the load since its last report, or the report lists the adapter.
+    is_confirmed: bool,
 }
 
 /// The adapters of one target.
@@ -42,14 +44,14 @@
                 let subject = ModelRef { model: held.name.clone(), adapter: Some(adapter.clone()) };
                 let known = self.find_entry(&subject);
                 let used_at = known.map_or(now - MIN_ADAPTER_IDLE, |entry| entry.used_at);
-                entries.push(AdapterEntry { subject, used_at, ready_at: now });
+                entries.push(AdapterEntry { subject, used_at, ready_at: now, is_confirmed: true });
             }
         }
         for entry in std::mem::take(&mut self.entries) {
             let is_reported = entries.iter().any(|other| other.subject == entry.subject);
             let is_model_held = models.iter().any(|held| held.name == entry.subject.model);
             if !is_reported && is_model_held && now.since(entry.ready_at) < ADAPTER_REPORT_LAG {
-                entries.push(entry);
+                entries.push(AdapterEntry { is_confirmed: false, ..entry });
             }
         }
         self.entries = entries;
@@ -68,7 +70,8 @@
         if self.find_entry(&subject).is_some() {
             self.touch(now, &subject);
         } else {
-            self.entries.push(AdapterEntry { subject, used_at: now, ready_at: now + ADAPTER_LOAD });
+            let ready_at = now + ADAPTER_LOAD;
+            self.entries.push(AdapterEntry { subject, used_at: now, ready_at, is_confirmed: true });
         }
     }
 
@@ -98,6 +101,11 @@
         self.find_entry(subject).map(|entry| entry.ready_at)
     }
 
+    /// Returns whether the target is known to hold an adapter, so that an unload takes effect.
+    pub(crate) fn is_confirmed(&self, subject: &ModelRef) -> bool {
+        self.find_entry(subject).is_some_and(|entry| entry.is_confirmed)
+    }
+
     /// Returns whether adapters were used recently.
     pub(crate) fn in_demand(&self, now: Time) -> bool {
         self.entries.iter().any(|entry| now.since(entry.used_at) < ADAPTER_DEMAND_SPAN)
--- a/crates/lead/src/target.rs
+++ b/crates/lead/src/target.rs
@@ -192,7 +192,7 @@
     /// Returns what orders to earlier starts may still load. What is held already isn't loaded again.
     fn stray_loads(&self, now: Time) -> impl Iterator<Item = &ModelRef> {
         let is_missing = |subject: &&ModelRef| match subject.adapter {
-            Some(_) => self.adapters.ready_at(subject).is_none(),
+            Some(_) => !self.adapters.is_confirmed(subject),
             None => !self.holds(&subject.model),
         };
         self.strays.former_loads(now, self.sequence).filter(is_missing)
@@ -506,6 +506,12 @@
         match reply {
             OrderReply::Accepted | OrderReply::Done if subject.adapter.is_some() => {
                 self.sequence = Some(OrderSequence(expected.0 + 1));
+                // An order that changes nothing has the same reply as one that was executed at once, and
+                // isn't counted. The next report shows the number.
+                let is_uncounted = kind == OrderKind::Load || !self.adapters.is_confirmed(&subject);
+                if reply == OrderReply::Done && is_uncounted {
+                    self.expect_report(now);
+                }
                 match (kind, reply) {
                     (OrderKind::Load, _) => self.adapters.add(now, subject),
                     (OrderKind::Unload, OrderReply::Accepted) => {
--- a/crates/lead/tests/order_life.rs
+++ b/crates/lead/tests/order_life.rs
@@ -6,7 +6,7 @@
 
 use base::Time;
 use common::{at, entry, leader, model, orders, report};
-use fleet::{OrderKind, OrderReply};
+use fleet::{ModelRef, OrderKind, OrderReply};
 use mango_lead::LeaderTerm;
 
 /// The heartbeat counter of a listed entry is unrelated to the target's orders, and an entry that
@@ -89,6 +89,44 @@
     assert!(!leader.may_order(Time::from_millis(1) + Duration::from_secs(3_600)));
 }
 
+/// Guards against an engine that gets more adapters than it has slots for: an unload was executed late,
+/// its repetition is answered with 200 without being counted, and the leader's next number is too high.
+#[test]
+fn repeated_unload() {
+    let mut leader = leader(&[("t1", &["a"])]);
+    let name = "t1".parse().unwrap();
+    let adapter = |name: &str| ModelRef { model: model("a"), adapter: Some(name.parse().unwrap()) };
+    let mut expected = 0;
+    for (ms, loaded) in [(100, "x"), (200, "y")] {
+        leader.request_adapter(at(ms), &name, &adapter(loaded));
+        let load = orders(&mut leader, at(ms)).remove(0);
+        assert_eq!((load.kind, load.expected.0), (OrderKind::Load, expected));
+        leader.handle_order_reply(at(ms + 5), &load, OrderReply::Accepted);
+        expected += 1;
+    }
+    leader.request_adapter(at(1_000), &name, &adapter("z"));
+    let unload = orders(&mut leader, at(1_000)).remove(0);
+    assert_eq!((unload.kind, unload.expected.0), (OrderKind::Unload, 2));
+    leader.handle_order_reply(at(1_200), &unload, OrderReply::Unknown);
+    // The order has been executed. The report lacks the adapter, as it may lack one that was loaded.
+    leader.plan(at(1_400));
+    let mut state = report(3, false, &["a"]);
+    let left = if unload.subject == adapter("x") { "y" } else { "x" };
+    state.models[0].adapters.push(left.parse().unwrap());
+    leader.handle_engine_report(at(1_420), &name, at(1_400), Some(&state));
+    leader.request_adapter(at(1_430), &name, &adapter("z"));
+    let repeated = orders(&mut leader, at(1_430)).remove(0);
+    assert_eq!((&repeated.subject, repeated.expected.0), (&unload.subject, 3));
+    leader.handle_order_reply(at(1_440), &repeated, OrderReply::Done);
+    leader.request_adapter(at(1_450), &name, &adapter("z"));
+    assert_eq!(orders(&mut leader, at(1_450)), [], "the engine's count is unknown");
+    leader.plan(at(1_700));
+    leader.handle_engine_report(at(1_720), &name, at(1_700), Some(&state));
+    leader.request_adapter(at(1_730), &name, &adapter("z"));
+    let load = orders(&mut leader, at(1_730)).remove(0);
+    assert_eq!((load.kind, load.expected.0), (OrderKind::Load, 3));
+}
+
 /// The reply of a target that knows a later leader ends the term.
 #[test]
 fn later_leader() {
