Answer every request that a stopping daemon has read

Cause: the time of a request's head decided whether it was accepted after SIGTERM, however late its body was complete; second attempts and resumed streams began at any time; and what couldn't finish by the exit was told nothing. The times were constants that didn't follow the grace period.

Evidence: late_in_grace on: head 2.5 s, body 3.7 s after SIGTERM, 1.5 s of work: the request ran, its connection ended without an answer.

Change: StopSchedule has all times of a stop.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -38,6 +38,7 @@
 mod record;
 mod request;
 mod retry;
+mod stop;
 mod targets;
 
 pub use budget::{BudgetDraw, ChargeResult, RequestCharge, TeamBudget};
@@ -45,4 +46,5 @@
 pub use dispatcher::{DispatchCounts, NextAction, RequestDispatcher};
 pub use request::{Arrival, AttemptEnd, ChoiceNote, Dispatch, FetchEnd, PermitEnd, Refusal, Step};
 pub use retry::RetryBudget;
+pub use stop::StopSchedule;
 pub use targets::{AnswerProgress, TargetHealth, TargetTable};
--- a/crates/mangodeal/tests/graceful_stop.rs
+++ b/crates/mangodeal/tests/graceful_stop.rs
@@ -139,3 +139,68 @@
         assert_eq!(answer.status, 200);
     });
 }
+
+/// Sends the head of an unsafe request, waits, sends its body and returns the status of the answer;
+/// `None` if the connection ends without one.
+async fn send_slowly(front: SocketAddr, attempt: String, pause: Duration) -> Option<u16> {
+    let mut stream = TcpStream::connect(front).await.ok()?;
+    let head = format!(
+        "POST /unsafe/1 HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Token {KEY}\r\n\
+         mangodeal-attempt-id: {attempt}\r\nmangodeal-time-left-ms: 6000\r\n\
+         content-length: 4\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    tokio::time::sleep(pause).await;
+    stream.write_all(b"body").await.ok()?;
+    let mut bytes = Vec::new();
+    // A reset after the answer is no loss.
+    let _ = stream.read_to_end(&mut bytes).await;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    text.strip_prefix("HTTP/1.1 ")?.get(..3)?.parse().ok()
+}
+
+/// Guards against requests that are taken late in the grace period and cut at its end without an
+/// answer. One whose body is complete too late isn't passed on, and one that can't finish gets a last
+/// answer. Times are those after SIGTERM; the grace period is 5 s.
+#[test]
+fn late_in_grace() {
+    // When the head is sent, how much later the body is, the server's work, and whether it may run.
+    const CASES: [(u64, u64, u64, bool); 4] = [
+        (2_500, 1_200, 1_500, false),
+        (2_700, 1_400, 100, false),
+        (2_600, 0, 4_000, true),
+        (200, 0, 6_000, true),
+    ];
+    run(async {
+        for (head_ms, pause_ms, work_ms, may_run) in CASES {
+            let mut fleet = PlatformFleet::start(1).await;
+            let front = fleet.fronts[0].caller;
+            for server in ["orders-1", "orders-2"] {
+                fleet.server(server).set_run_time(Duration::from_millis(work_ms));
+            }
+            fleet.fronts[0].terminate();
+            let stopped_at = Instant::now();
+            tokio::time::sleep(Duration::from_millis(head_ms)).await;
+            let pause = Duration::from_millis(pause_ms);
+            let calls: JoinSet<(String, Option<u16>)> = (0..4)
+                .map(|number| {
+                    let attempt = format!("late-{head_ms}-{number}");
+                    async move { (attempt.clone(), send_slowly(front, attempt, pause).await) }
+                })
+                .collect();
+            let answers = calls.join_all().await;
+            fleet.fronts[0].wait_exit().await;
+            let elapsed = stopped_at.elapsed();
+            assert!(elapsed < Duration::from_secs(5), "{head_ms} ms: the stop took {elapsed:?}");
+            let mut runs_of_case = 0;
+            for (attempt, status) in answers {
+                let runs = fleet.runs(&attempt);
+                runs_of_case += runs;
+                let is_unknown = status == Some(502) || status == Some(504);
+                let is_sound = may_run && is_unknown || status == Some(503) && runs == 0;
+                assert!(is_sound, "{head_ms} ms, {attempt}: {status:?}, {runs} runs");
+            }
+            assert_eq!(runs_of_case > 0, may_run, "{head_ms} ms: {runs_of_case} runs");
+        }
+    });
+}
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -33,12 +33,6 @@
 use crate::logging::LogLine;
 use crate::peer;
 
-/// How long after SIGTERM the daemon still accepts requests. The balancer needs two probes, a
-/// second apart, to notice that the daemon stops.
-const REFUSE_AFTER_STOP: Duration = Duration::from_millis(3_000);
-/// How long after SIGTERM a request may still wait for a model load or for tokens. A request that
-/// is sent later could not finish before the process exits.
-const MAX_WAIT_AFTER_STOP: Duration = Duration::from_millis(2_500);
 /// Longest time to receive the body of a request. An earlier deadline shortens it.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a request waits for a process that has just started to read its configuration.
@@ -165,16 +159,20 @@
     host: Rc<Host>,
     request: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, Infallible> {
-    let stopping_since = host.stopping_since.get();
-    let response = if stopping_since.is_some_and(|at| boot_time().since(at) > REFUSE_AFTER_STOP) {
-        let attempt = read_head(request.headers()).attempt;
-        let refused = Refusal::new(ResultCode::NotReady, "stopping").after(STOP_RETRY_AFTER);
-        refusal_answer(refused, attempt.as_ref())
-    } else {
+    let is_stopping = host.stop_schedule.get().is_some();
+    let response = if host.accepts_requests(boot_time()) {
         receive(host.clone(), request).await
+    } else {
+        refuse_while_stopping(read_head(request.headers()).attempt.as_ref())
     };
     host.metrics.count_answer(response.status().as_u16());
-    Ok(if stopping_since.is_some() { with_close(response) } else { response })
+    Ok(if is_stopping { with_close(response) } else { response })
+}
+
+/// Refuses a request that has not run because the daemon stops.
+fn refuse_while_stopping(attempt: Option<&HeaderValue>) -> Response<ReplyBody> {
+    let refused = Refusal::new(ResultCode::NotReady, "stopping").after(STOP_RETRY_AFTER);
+    refusal_answer(refused, attempt)
 }
 
 /// Receives a request's body, admits the request and answers it.
@@ -193,7 +191,14 @@
     let number = host.next_request_number();
     let buffer = host.request_buffers.open(BufferOwner::Request(number));
     let reading = read_body(body, limit.max(64 << 10), buffer);
-    let body = match tokio::time::timeout(body_timeout, reading).await {
+    let reading = tokio::time::timeout(body_timeout, reading);
+    let body = tokio::select! {
+        body = reading => body,
+        () = host.last_answer_due() => {
+            return with_close(refuse_while_stopping(request_head.attempt.as_ref()));
+        }
+    };
+    let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLong)) => {
             return with_close(refusal_for_code(ResultCode::TooLarge));
@@ -213,6 +218,10 @@
     let mut hasher = DefaultHasher::new();
     attempt_id.hash(&mut hasher);
     wait_for_layout(&host, received_at + MAX_LAYOUT_WAIT.min(body_timeout)).await;
+    // The body may have arrived long after the head.
+    if !host.accepts_requests(boot_time()) {
+        return with_close(refuse_while_stopping(request_head.attempt.as_ref()));
+    }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let arrival = Arrival {
         host: host_name(&head),
@@ -373,6 +382,9 @@
         // Created before the step, so that a notification between the step and the wait is not
         // lost.
         let changed = host.state_changed.notified();
+        if !host.accepts_requests(boot_time()) {
+            return withdraw(guard);
+        }
         let step = host.dispatcher.borrow_mut().step(boot_time(), id);
         let dispatch = match step {
             Step::Send(dispatch) => dispatch,
@@ -403,12 +415,9 @@
                 continue;
             }
             Step::Wait(until) => {
-                let wait_end = host.stopping_since.get().map(|at| at + MAX_WAIT_AFTER_STOP);
+                let wait_end = host.stop_schedule.get().map(|schedule| schedule.wait_until());
                 if wait_end.is_some_and(|wait_end| boot_time() >= wait_end) {
-                    guard.is_done = true;
-                    return RequestResult::Refused(
-                        host.dispatcher.borrow_mut().withdraw(boot_time(), id),
-                    );
+                    return withdraw(guard);
                 }
                 host.report_due.notify_one();
                 tokio::select! {
@@ -431,7 +440,10 @@
             .with("kept_tokens", note.kept_tokens)
             .with("listing_age_ms", note.listing_age.as_millis() as u64)
             .info();
-        let outcome = run_attempt(&host, id, &dispatch, forward, broken).await;
+        let outcome = tokio::select! {
+            outcome = run_attempt(&host, id, &dispatch, forward, broken) => outcome,
+            () = host.last_answer_due() => return end_unfinished(guard),
+        };
         let (end, failed) = match outcome {
             AttemptOutcome::Stream(stream) => return RequestResult::Stream(stream),
             AttemptOutcome::Complete(answer) => {
@@ -453,6 +465,27 @@
     }
 }
 
+/// Ends a request that no target is running because the daemon stops.
+fn withdraw(guard: &mut RequestGuard) -> RequestResult {
+    guard.is_done = true;
+    let refused = guard.host.dispatcher.borrow_mut().withdraw(boot_time(), guard.id);
+    RequestResult::Refused(refused)
+}
+
+/// Ends a request that a target may still be running because the daemon exits soon. It is unknown
+/// whether the request runs, which is all that its client can be told.
+fn end_unfinished(guard: &mut RequestGuard) -> RequestResult {
+    guard.log_line("unfinished").info();
+    match guard.end_attempt(AttemptEnd::Silent) {
+        NextAction::Final(refused) => RequestResult::Refused(refused),
+        NextAction::Retry => withdraw(guard),
+        NextAction::PassOn => {
+            let code = ResultCode::OutcomeUnknown;
+            RequestResult::Refused(Refusal::new(code, "the daemon stops"))
+        }
+    }
+}
+
 /// Relays a stream from its target to the client.
 struct StreamRelay {
     guard: RequestGuard,
--- a/crates/serve/src/election.rs
+++ b/crates/serve/src/election.rs
@@ -186,7 +186,7 @@
 /// lease of the new term.
 async fn claim_leadership(host: &Host) -> Option<LeaseId> {
     let current = host.leader_entry.borrow().clone();
-    let is_stopping = host.stopping_since.get().is_some();
+    let is_stopping = host.stop_schedule.get().is_some();
     if !host.has_listed.get() || host.leader_state.borrow().is_some() || is_stopping {
         return None;
     }
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -8,8 +8,7 @@
 use buffer::BufferPool;
 use daemon::boot_time;
 use fleet::ChangeBatch;
-use front::{DispatcherConfig, RequestDispatcher};
-
+use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
 use lead::{ListValidity, RelayView, SeatRoster, UnreadValues, ValueClass};
 use node::{KeyValue, LeaseId};
 use tokio::sync::Notify;
@@ -104,8 +103,10 @@
     pub(crate) list_validity: Cell<ListValidity>,
     /// Whether the complete state of the store has been read at least once.
     pub(crate) has_listed: Cell<bool>,
-    /// When the daemon received the signal to stop.
-    pub(crate) stopping_since: Cell<Option<Time>>,
+    /// The planned stop, once the daemon has received the signal.
+    pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
+    /// Notified when requests that are still running get their last answer.
+    last_answers: Notify,
 }
 
 impl Host {
@@ -151,7 +152,8 @@
             plan_due: Notify::new(),
             list_validity: Cell::default(),
             has_listed: Cell::new(false),
-            stopping_since: Cell::new(None),
+            stop_schedule: Cell::new(None),
+            last_answers: Notify::new(),
             settings,
         }
     }
@@ -210,9 +212,36 @@
         self.settings.cpu_share >= ANY_FLEET_CPU_SHARE
     }
 
+    /// Returns whether new requests are accepted, and requests sent to targets.
+    pub(crate) fn accepts_requests(&self, now: Time) -> bool {
+        self.stop_schedule.get().is_none_or(|schedule| schedule.accepts_requests(now))
+    }
+
+    /// Wakes the requests that get their last answer if the process exits soon.
+    pub(crate) fn send_last_answers(&self, now: Time) {
+        if self.needs_last_answers(now) {
+            self.last_answers.notify_waiters();
+        }
+    }
+
+    fn needs_last_answers(&self, now: Time) -> bool {
+        self.stop_schedule.get().is_some_and(|schedule| now >= schedule.last_answers_at())
+    }
+
+    /// Waits until the process exits soon, so that a request must be answered now.
+    pub(crate) async fn last_answer_due(&self) {
+        loop {
+            let notified = self.last_answers.notified();
+            if self.needs_last_answers(boot_time()) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
     /// Returns whether the balancer may send connections to this daemon.
     pub(crate) fn is_ready(&self) -> bool {
-        self.stopping_since.get().is_none()
+        self.stop_schedule.get().is_none()
             && self.has_listed.get()
             && self.dispatcher.borrow().layout().is_some()
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use daemon::boot_time;
+use front::StopSchedule;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,14 +27,6 @@
 use crate::metrics::Metrics;
 use crate::{caller, conn, election, evidence, follow, orders, peer, FrontSettings};
 
-/// Least time from SIGTERM to exit. The balancer probes twice, a second apart, before it stops
-/// sending connections here.
-const MIN_STOP_TIME: Duration = Duration::from_millis(3_600);
-/// Time before SIGKILL at which the process exits even if requests are running.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
-/// Time after SIGTERM at which idle connections are closed. Until then, a request on a kept-alive
-/// connection is still answered.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(3_300);
 /// How long a new connection may wait for its first request while the daemon stops. Clients send it
 /// at once.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -148,20 +141,20 @@
 
 /// Drains the daemon: waits for running requests to finish, and ends before SIGKILL arrives.
 async fn drain_and_stop(host: &Host, stop: &watch::Sender<bool>, open_conns: &Cell<usize>) {
-    let stop_began = boot_time();
-    host.stopping_since.set(Some(stop_began));
+    let schedule = StopSchedule::new(boot_time(), host.settings.grace);
+    host.stop_schedule.set(Some(schedule));
     // Waiting requests recompute how long they may still wait.
     host.state_changed.notify_waiters();
     LogLine::new("stopping").with("open", host.dispatcher.borrow().open_count()).info();
-    let drain_limit = host.settings.grace.saturating_sub(KILL_MARGIN);
     loop {
         tokio::time::sleep(Duration::from_millis(50)).await;
-        let elapsed = boot_time().since(stop_began);
-        if elapsed >= CLOSE_IDLE_AFTER {
+        let now = boot_time();
+        if schedule.closes_idle(now) {
             stop.send_replace(true);
         }
+        host.send_last_answers(now);
         let is_idle = host.dispatcher.borrow().open_count() == 0 && open_conns.get() == 0;
-        if elapsed >= drain_limit || elapsed >= MIN_STOP_TIME && is_idle {
+        if schedule.exits(now, is_idle) {
             break;
         }
     }
