--- a/crates/lead/tests/order_life.rs
+++ b/crates/lead/tests/order_life.rs
@@ -96,13 +96,11 @@
     let mut leader = leader(&[("t1", &["a"])]);
     let name = "t1".parse().unwrap();
     let adapter = |name: &str| ModelRef { model: model("a"), adapter: Some(name.parse().unwrap()) };
-    let mut expected = 0;
-    for (ms, loaded) in [(100, "x"), (200, "y")] {
+    for (ms, loaded, expected) in [(100, "x", 0), (200, "y", 1)] {
         leader.request_adapter(at(ms), &name, &adapter(loaded));
         let load = orders(&mut leader, at(ms)).remove(0);
         assert_eq!((load.kind, load.expected.0), (OrderKind::Load, expected));
         leader.handle_order_reply(at(ms + 5), &load, OrderReply::Accepted);
-        expected += 1;
     }
     leader.request_adapter(at(1_000), &name, &adapter("z"));
     let unload = orders(&mut leader, at(1_000)).remove(0);
