End a stream at its deadline while frames are always ready

Cause: each wait for the next frame created the deadline's timer anew. A timer fires at the runtime's next turn at the earliest, and a frame that is ready ends the wait before that, each time.

Change: the clock is read before each frame.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -515,7 +515,11 @@
                     .borrow()
                     .route_of(id)
                     .is_some_and(|route| route.kind.is_repeatable());
+            // The timer is created anew for each frame, and never fires while the next one is ready.
+            let is_late = boot_time() >= self.deadline;
             let end = tokio::select! {
+                biased;
+                () = std::future::ready(()), if is_late => AttemptEnd::Silent,
                 () = stream.charge.evicted() => {
                     let error = BufferError::Evicted.into();
                     log_unread(host, "stream_unread", stream.address, error);
