--- a/crates/mangodeal/tests/cut_heads.rs
+++ b/crates/mangodeal/tests/cut_heads.rs
@@ -33,6 +33,9 @@
 /// Requests at a time. More than one keep the target from being avoided for long.
 const CALLS_AT_ONCE: usize = 16;
 
+/// Tells whether a body that arrived to its end would be taken for complete.
+type BodyCheck = fn(&[u8]) -> bool;
+
 /// Builds a whole answer and the length of its head.
 fn whole_answer(kind: &str, framing: &str, attempt: &str) -> (String, usize) {
     let early = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
@@ -125,7 +128,7 @@
 /// kept. Returns those that were answered with status 200 and a complete body.
 async fn complete_cuts<F>(
     (kind, step): (&str, usize),
-    is_complete: fn(&[u8]) -> bool,
+    is_complete: BodyCheck,
     call: F,
 ) -> Vec<String>
 where
@@ -201,7 +204,7 @@
         // Streams on this path end with a marker: one without it isn't complete, and one with it is
         // whatever follows.
         let is_cut_short = |body: &[u8]| body.ends_with(b"[DONE]\n\n") && body != BODY.as_bytes();
-        let cases: [(&str, &str, fn(&[u8]) -> bool); 2] =
+        let cases: [(&str, &str, BodyCheck); 2] =
             [("plain", "text/plain", |_| true), ("events", EVENTS, is_cut_short)];
         for (name, kind, is_complete) in cases {
             let (address, cuts) = start_server(kind).await;
@@ -215,7 +218,7 @@
             fleet.wait_in_force(revision, fleet.daemons.len()).await;
             let caller = fleet.daemons[0].caller;
             let complete = complete_cuts((kind, OWN_STEP), is_complete, |cut| {
-                HttpCall::post(caller, &format!("/{name}/{cut}"), "body".to_owned())
+                HttpCall::post(caller, format!("/{name}/{cut}"), "body".to_owned())
             })
             .await;
             assert!(complete.is_empty(), "{name}: {complete:?}");
