--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -1,4 +1,4 @@
-//! What a daemon does at which time after it was told to stop.
+//! The times of a planned stop.
 
 use std::time::Duration;
 
@@ -71,7 +71,7 @@
         self.exit_at() - ANSWER_MARGIN.min(self.span / 4)
     }
 
-    /// Returns whether the process exits now. `is_idle` tells whether it has no requests and no
+    /// Returns whether the process exits now. `is_idle` is set if it has no requests and no
     /// connections of clients.
     pub fn exits(&self, now: Time, is_idle: bool) -> bool {
         now >= self.exit_at() || is_idle && now.since(self.began_at) >= MIN_STOP_TIME
--- a/crates/mangodeal/tests/cut_heads.rs
+++ b/crates/mangodeal/tests/cut_heads.rs
@@ -110,8 +110,8 @@
     (address, cuts)
 }
 
-/// Returns the ways to cut answers: each `step` bytes of the head, and within the body as far as that can
-/// be told from its end.
+/// Returns the ways to cut answers: each `step` bytes of the head, and within the body as far as its end
+/// shows that.
 fn cut_names(kind: &str, step: usize) -> Vec<String> {
     let mut names = Vec::new();
     for framing in FRAMINGS {
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -473,7 +473,7 @@
 }
 
 /// Ends a request that a target may still be running because the daemon exits soon. It is unknown
-/// whether the request runs, which is all that its client can be told.
+/// whether the request runs, and its client gets an answer that says so.
 fn end_unfinished(guard: &mut RequestGuard) -> RequestResult {
     guard.log_line("unfinished").info();
     match guard.end_attempt(AttemptEnd::Silent) {
