Log where a configuration came from and how old the former knowledge was

Change: layout_taken has revision, source, bytes and age_ms; the gauge layout_age_ms is the time since which a newer configuration may exist. The layout moves from the follower into a module of its own. No decision changes.

--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -35,6 +35,7 @@
 mod adapters;
 mod config;
 mod demand;
+mod layout;
 mod leader;
 mod pool;
 mod relay;
@@ -49,6 +50,7 @@
 pub mod work;
 
 pub use config::{LeaderConfig, LeaderTerm};
+pub use layout::LayoutFreshness;
 pub use leader::{
     AdapterState, Leader, LeaderAction, LeaderEvent, LoadBacklog, LoadDecision, LoadResult,
 };
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -2,18 +2,17 @@
 //! Changes come from the daemon's own watch, or from the leader, which relays them.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use base::{DomainName, Revision, TargetName, Time};
 use daemon::boot_time;
 use evacuate::{EvacuationChanges, EvacuationTable};
-use fleet::{ColdSetting, StoreChange, TargetEntry, TargetHoldings};
+use fleet::{StoreChange, TargetEntry, TargetHoldings};
 use lead::{ReadPlan, StoreRead, ValueClass, ValueRead};
 use limit::ColdNotice;
 use node::{KeyEvent, KeyValue};
 use platform::document::{
-    read_evacuation, read_layout, read_target, EVACUATION_PREFIX, LAYOUT_KEY, TARGET_PREFIX,
+    read_evacuation, read_target, EVACUATION_PREFIX, LAYOUT_KEY, TARGET_PREFIX,
 };
 use platform::store::WatchReply;
 
@@ -21,6 +20,7 @@
 use crate::evidence::{self, EVIDENCE_PREFIX};
 use crate::exchange::{log_cold_changes, log_ignored_cold};
 use crate::host::{sleep_until, Host};
+use crate::layout::{apply_layout, confirm_layout, LayoutSource};
 use crate::logging::LogLine;
 use crate::store::StoreError;
 use crate::{orders, peer};
@@ -131,7 +131,7 @@
         let with_prefix =
             |prefix| items.iter().filter(move |item: &&KeyValue| item.key.starts_with(prefix));
         for item in with_prefix(LAYOUT_KEY) {
-            self.apply_layout(item);
+            apply_layout(&host, item, LayoutSource::Snapshot);
         }
         let entries: Vec<_> = with_prefix(TARGET_PREFIX).filter_map(parse_entry).collect();
         entries.iter().for_each(|entry| log_bad_cold(&host, entry));
@@ -147,6 +147,7 @@
         });
         host.has_listed.set(true);
         host.unread_values.borrow_mut().clear();
+        confirm_layout(&host, asked_at);
         self.plan.record_snapshot(now);
         self.mark_list_fresh(asked_at);
         let hosts =
@@ -209,7 +210,9 @@
         let now = boot_time();
         // A leader that can't reach the store relays old state, which must not count as fresh.
         let fresh_until = self.host.relay_view.get().fresh_until(now);
-        for batch in batches {
+        for relayed in batches {
+            let read_at = relayed.read_at();
+            let batch = relayed.batch;
             let (until, batch_age_ms) = (batch.until, batch.age_ms);
             // A batch that begins after this revision leaves a gap; the next report asks for it
             // again.
@@ -221,6 +224,7 @@
                     changes.into_iter().map(FollowedChange::from).collect(),
                     until,
                 );
+                confirm_layout(&self.host, read_at);
             }
         }
         if let Some(until) = fresh_until {
@@ -239,7 +243,8 @@
         let host = self.host.clone();
         let Some(read) = host.unread_values.borrow_mut().begin_read(boot_time()) else { return };
         let is_layout = read.class == ValueClass::Layout;
-        let relay_at = boot_time() + LAYOUT_READ_TIMEOUT;
+        let asked_at = boot_time();
+        let relay_at = asked_at + LAYOUT_READ_TIMEOUT;
         let mut call = std::pin::pin!(host.store.read_key(&read.key));
         let item = loop {
             tokio::select! {
@@ -254,7 +259,7 @@
             }
         };
         match item {
-            Ok(item) => self.apply_read(&read, item, "store"),
+            Ok(item) => self.apply_read(&read, asked_at, item, LayoutSource::Read),
             Err(error) => {
                 let key = read.key.as_str();
                 LogLine::new("value_unread").with("key", key).text("error", &error).info();
@@ -266,14 +271,20 @@
                 if let Some(value) = relayed {
                     let key = read.key.clone();
                     let item = KeyValue { key, value, revision: read.revision };
-                    self.apply_read(&read, Some(item), "leader");
+                    self.apply_read(&read, asked_at, Some(item), LayoutSource::Leader);
                 }
             }
         }
     }
 
     /// Applies a value that the leader left out.
-    fn apply_read(&mut self, read: &ValueRead, item: Option<KeyValue>, source: &str) {
+    fn apply_read(
+        &mut self,
+        read: &ValueRead,
+        asked_at: Time,
+        item: Option<KeyValue>,
+        source: LayoutSource,
+    ) {
         let now = boot_time();
         let found = item.as_ref().map(|item| item.revision);
         self.host.unread_values.borrow_mut().finish_read(now, read, found);
@@ -282,12 +293,20 @@
                 .with("key", read.key.as_str())
                 .with("revision", found.map(Revision::number))
                 .with("noted_ms_ago", now.since(read.noted_at).as_millis() as u64)
-                .with("source", source)
+                .with("source", source.name())
                 .info();
         }
-        if item.is_some_and(|item| self.apply_event(now, KeyEvent::Put(item))) {
+        let is_relevant = item.is_some_and(|item| match read.class {
+            ValueClass::Layout => apply_layout(&self.host, &item, source),
+            ValueClass::Target | ValueClass::Evidence => self.apply_event(now, KeyEvent::Put(item)),
+        });
+        if is_relevant {
             self.notify_changed();
         }
+        // The leader has at least the revision that was noted, but maybe not the latest one.
+        if read.class == ValueClass::Layout && source == LayoutSource::Read {
+            confirm_layout(&self.host, asked_at);
+        }
     }
 
     /// Marks the list of targets as fresh after the daemon's own read of the store, which shows its
@@ -349,7 +368,9 @@
         self.record_contact();
         // The store answers a watch without changes at the end of its wait.
         let has_waited = !has_events && now.since(asked_at) >= wait;
-        self.mark_list_fresh(if has_waited { asked_at + wait } else { asked_at });
+        let read_at = if has_waited { asked_at + wait } else { asked_at };
+        confirm_layout(&host, read_at);
+        self.mark_list_fresh(read_at);
         if has_events {
             let has_no_leader = host.leader_entry.borrow().is_none();
             sleep_until(now + if has_no_leader { NO_LEADER_PAUSE.min(pause) } else { pause }).await;
@@ -421,37 +442,15 @@
     fn apply_event(&mut self, now: Time, event: KeyEvent) -> bool {
         let key = key_of(&event).to_owned();
         match event {
-            KeyEvent::Put(item) if key == LAYOUT_KEY => self.apply_layout(&item),
+            KeyEvent::Put(item) if key == LAYOUT_KEY => {
+                apply_layout(&self.host, &item, LayoutSource::Change)
+            }
             event if key.starts_with(TARGET_PREFIX) => self.apply_target(now, &key, event),
             event if key.starts_with(DAEMON_PREFIX) => self.apply_daemon_key(&key, event),
             _ => false,
         }
     }
 
-    fn apply_layout(&self, item: &KeyValue) -> bool {
-        *self.host.layout_item.borrow_mut() = Some(item.clone());
-        let layout = match read_layout(&item.value) {
-            Ok(layout) => Arc::new(layout),
-            Err(error) => {
-                LogLine::new("layout_unread").text("error", &error).warn();
-                return false;
-            }
-        };
-        for service in layout.services().filter(|s| s.cold == ColdSetting::Malformed) {
-            log_ignored_cold("service", &service.name);
-        }
-        let (now, version) = (boot_time(), layout.version());
-        let is_new = self.host.dispatcher.borrow_mut().apply_layout(now, layout.clone());
-        if is_new {
-            if let Some(state) = self.host.leader_state.borrow_mut().as_mut() {
-                state.leader.apply_layout(now, layout);
-            }
-            let line = LogLine::new("layout_taken").with("version", version.0);
-            line.with("allowances", team_allowances(&self.host)).info();
-        }
-        is_new
-    }
-
     fn apply_target(&mut self, now: Time, key: &str, event: KeyEvent) -> bool {
         let Some(name) = target_name(key) else { return false };
         let entry = match &event {
@@ -734,17 +733,6 @@
     }
 }
 
-/// Returns the teams' token allowances for the log, as rate per second and burst by team.
-fn team_allowances(host: &Host) -> serde_json::Value {
-    let dispatcher = host.dispatcher.borrow();
-    let teams = dispatcher.layout().into_iter().flat_map(|layout| layout.teams());
-    let limited = teams.filter_map(|team| {
-        let allowance = team.allowance?;
-        Some((team.name.to_string(), serde_json::json!([allowance.per_second, allowance.burst])))
-    });
-    serde_json::Value::Object(limited.collect())
-}
-
 /// Logs an entry's statement of how long its target is cold if it can't be right, once in a row.
 fn log_bad_cold(host: &Host, entry: &TargetEntry) {
     let dispatcher = host.dispatcher.borrow();
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -9,7 +9,7 @@
 use daemon::boot_time;
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
-use lead::{ListValidity, RelayView, SeatRoster, UnreadValues, ValueClass};
+use lead::{LayoutFreshness, ListValidity, RelayView, SeatRoster, UnreadValues, ValueClass};
 use node::{KeyValue, LeaseId};
 use tokio::sync::Notify;
 
@@ -35,6 +35,20 @@
 /// the daemon has not learnt that the target leaves.
 pub(crate) const SEND_MARGIN: Duration = Duration::from_millis(100);
 
+/// Changes that the leader relayed in its reply to a report.
+pub(crate) struct RelayedBatch {
+    /// When the report was sent.
+    pub(crate) asked_at: Time,
+    pub(crate) batch: ChangeBatch,
+}
+
+impl RelayedBatch {
+    /// Returns the time at which the store had all changes of the batch and no later one.
+    pub(crate) fn read_at(&self) -> Time {
+        self.asked_at - Duration::from_millis(self.batch.age_ms)
+    }
+}
+
 /// The leader according to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct LeaderEntry {
@@ -78,11 +92,13 @@
     /// Until when the changes that the leader relays are fresh.
     pub(crate) relay_view: Cell<RelayView>,
     /// Batches that the leader has relayed and the follower has not applied yet.
-    pub(crate) relayed_batches: RefCell<Vec<ChangeBatch>>,
+    pub(crate) relayed_batches: RefCell<Vec<RelayedBatch>>,
     /// Values that the leader left out of its batches and that have not been read.
     pub(crate) unread_values: RefCell<UnreadValues>,
     /// The latest layout as it was read, for daemons that can't read it.
     pub(crate) layout_item: RefCell<Option<KeyValue>>,
+    /// How recently the layout was known to be the latest one.
+    pub(crate) layout_freshness: Cell<LayoutFreshness>,
     /// Notified when the leader has answered a report or stayed silent.
     pub(crate) relay_changed: Notify,
     /// Notified when the list of targets is fresh again.
@@ -143,6 +159,7 @@
             relayed_batches: RefCell::default(),
             unread_values: RefCell::new(UnreadValues::new(settings.watch_pause)),
             layout_item: RefCell::default(),
+            layout_freshness: Cell::default(),
             relay_changed: Notify::new(),
             list_refreshed: Notify::new(),
             state_changed: Notify::new(),
@@ -193,6 +210,7 @@
             is_leading: self.leader_state.borrow().is_some(),
             layout_version: dispatcher.version().0,
             layout_unread: unread.unread_since(ValueClass::Layout).map(|at| boot_time().since(at)),
+            layout_age: self.layout_freshness.get().age(boot_time()),
             unread_values: unread.count(),
             resident_bytes: resident_bytes(),
             request_buffers: self.request_buffers.usage(),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -33,6 +33,7 @@
 mod exchange;
 mod follow;
 mod host;
+mod layout;
 mod logging;
 mod metrics;
 mod orders;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -40,6 +40,7 @@
     leading: Gauge<i64>,
     layout_version: Gauge<u64, AtomicU64>,
     layout_unread_ms: Gauge<u64, AtomicU64>,
+    layout_age_ms: Gauge<u64, AtomicU64>,
     unread_values: Gauge<i64>,
     resident_bytes: Gauge<u64, AtomicU64>,
     buffered_bytes: Family<Labels, Gauge<u64, AtomicU64>>,
@@ -70,6 +71,8 @@
     pub(crate) layout_version: u64,
     /// Time since when a newer layout is known but unread.
     pub(crate) layout_unread: Option<Duration>,
+    /// Time since when a newer layout may exist.
+    pub(crate) layout_age: Option<Duration>,
     pub(crate) unread_values: usize,
     pub(crate) resident_bytes: u64,
     pub(crate) request_buffers: PoolUsage,
@@ -106,6 +109,7 @@
             leading: Gauge::default(),
             layout_version: Gauge::default(),
             layout_unread_ms: Gauge::default(),
+            layout_age_ms: Gauge::default(),
             unread_values: Gauge::default(),
             resident_bytes: Gauge::default(),
             buffered_bytes: Family::default(),
@@ -192,6 +196,11 @@
             "Time since when a newer configuration is known but not in force",
             metrics.layout_unread_ms.clone(),
         );
+        registry.register(
+            "layout_age_ms",
+            "Time since when a newer configuration may exist",
+            metrics.layout_age_ms.clone(),
+        );
         registry.register(
             "unread_values",
             "Values that the leader doesn't relay and that are unread",
@@ -259,6 +268,7 @@
         self.leading.set(i64::from(readings.is_leading));
         self.layout_version.set(readings.layout_version);
         self.layout_unread_ms.set(to_millis(readings.layout_unread.unwrap_or_default()));
+        self.layout_age_ms.set(to_millis(readings.layout_age.unwrap_or_default()));
         self.unread_values.set(to_count(readings.unread_values));
         self.resident_bytes.set(readings.resident_bytes);
         let pools = [("requests", readings.request_buffers), ("control", readings.control_buffers)];
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -25,7 +25,7 @@
 use crate::answer::{full_body, ReplyBody};
 use crate::conn::PooledConn;
 use crate::exchange::{log_limit, MAX_IDLE_TIME};
-use crate::host::{sleep_until, Host};
+use crate::host::{sleep_until, Host, RelayedBatch};
 use crate::logging::LogLine;
 
 /// Time limit of connecting to a peer, or to an engine for a control call.
@@ -106,7 +106,8 @@
     let mut view = host.relay_view.get();
     view.apply_reply(asked_at, batch.as_ref());
     host.relay_view.set(view);
-    host.relayed_batches.borrow_mut().extend(batch);
+    let relayed = batch.map(|batch| RelayedBatch { asked_at, batch });
+    host.relayed_batches.borrow_mut().extend(relayed);
     host.relay_changed.notify_one();
 }
 
