Check the configuration by itself when nothing has confirmed it

Cause: a bound derived from other information's. A daemon took its configuration to be current for as long as it relied on the leader's relayed list of targets: the drain time less 0.5 s, or 2 s after the leader's last answer. Of 3 s, 0.5 to 1 s was left, and the first call of its own could take its whole time limit of 1.5 s. A silent leader alone never broke the bound, a second failure beside it did.

Change: LayoutFreshness keeps when the layout was last shown to be the latest one. After half of the new setting limits.apply without that, a quarter while the leader is silent, a task beside the follower asks the store for the layout alone, for its value if changes don't come. An older read no longer replaces the layout that is kept for peers.

--- a/crates/lead/src/layout.rs
+++ b/crates/lead/src/layout.rs
@@ -1,10 +1,25 @@
-//! How recently a daemon's layout was known to be the latest one.
+//! How recently a daemon's layout was known to be the latest one, and when to find out.
 
 use std::time::Duration;
 
 use base::Time;
 
-/// How recently a daemon's layout was known to be the latest one in the store.
+/// A daemon checks its layout when it hasn't been confirmed for the bound divided by this.
+const CHECK_DIVISOR: u32 = 2;
+/// The same divisor while the leader doesn't answer, so that nothing else will confirm the layout.
+const SILENCE_DIVISOR: u32 = 4;
+/// A check waits for changes for at most the bound divided by this. Then it reads the whole layout.
+const TIMEOUT_DIVISOR: u32 = 8;
+/// Pause after a failed check, as a divisor of the bound.
+const RETRY_DIVISOR: u32 = 4;
+
+/// How recently a daemon's layout was known to be the latest one in the store, and when the daemon
+/// should ask the store itself.
+///
+/// Whatever shows that there is no newer layout confirms the one in force: changes that the leader
+/// relays, the daemon's own watch, or a check. A check is a call for the layout alone, which doesn't
+/// wait for other reads. The time without a confirmation is bounded by the time within which a
+/// layout must be in force, so that it doesn't depend on how long other information is relied on.
 ///
 /// # Example
 ///
@@ -13,24 +28,64 @@
 /// use base::Time;
 /// use mango_lead::LayoutFreshness;
 ///
-/// let mut freshness = LayoutFreshness::default();
-/// assert_eq!(freshness.age(Time::from_millis(1_000)), None);
-/// freshness.confirm(Time::from_millis(1_000));
-/// assert_eq!(freshness.age(Time::from_millis(1_400)), Some(Duration::from_millis(400)));
+/// let at = |ms| Time::from_millis(ms);
+/// let mut freshness = LayoutFreshness::new(Duration::from_secs(4));
+/// assert_eq!(freshness.next_check(), None, "nothing is known yet");
+/// freshness.confirm(at(1_000));
+/// assert_eq!(freshness.next_check(), Some(at(3_000)));
+/// freshness.record_silence();
+/// assert_eq!(freshness.next_check(), Some(at(2_000)));
+/// freshness.confirm(at(1_500));
+/// assert_eq!(freshness.next_check(), Some(at(3_500)));
 /// ```
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct LayoutFreshness {
+    bound: Duration,
     confirmed_at: Option<Time>,
+    /// Whether the leader has left a report unanswered since the last confirmation.
+    is_leader_silent: bool,
+    /// When a check may be repeated after one has failed.
+    retry_at: Time,
 }
 
 impl LayoutFreshness {
+    /// Creates the state of a daemon on which a layout must be in force within `bound`.
+    pub fn new(bound: Duration) -> LayoutFreshness {
+        LayoutFreshness { bound, confirmed_at: None, is_leader_silent: false, retry_at: Time::ZERO }
+    }
+
     /// Records that the layout in force was the latest one in the store at this time or later.
     pub fn confirm(&mut self, at: Time) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+        if self.confirmed_at.is_none_or(|known| known < at) {
+            self.confirmed_at = Some(at);
+            self.is_leader_silent = false;
+        }
+    }
+
+    /// Records that the leader, on whose changes the daemon relies, left a report unanswered.
+    pub fn record_silence(&mut self) {
+        self.is_leader_silent = true;
+    }
+
+    /// Records that a check has failed.
+    pub fn fail_check(&mut self, now: Time) {
+        self.retry_at = now + self.bound / RETRY_DIVISOR;
     }
 
     /// Returns the time since when a newer layout may exist; `None` before the first one is known.
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.confirmed_at.map(|at| now.since(at))
     }
+
+    /// Returns when the daemon should check its layout unless it is confirmed before.
+    pub fn next_check(&self) -> Option<Time> {
+        let divisor = if self.is_leader_silent { SILENCE_DIVISOR } else { CHECK_DIVISOR };
+        self.confirmed_at.map(|at| (at + self.bound / divisor).max(self.retry_at))
+    }
+
+    /// Returns how long a check waits for changes of the layout before it reads the whole layout,
+    /// which needs no history.
+    pub fn change_timeout(&self) -> Duration {
+        self.bound / TIMEOUT_DIVISOR
+    }
 }
--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -7,7 +7,7 @@
 
 use common::{eventually, run};
 use mangodeal::client::HttpCall;
-use platform_fleet::platform_standin::config;
+use platform_fleet::platform_standin::{config, StoreMode};
 use platform_fleet::{FrontProcess, PlatformFleet};
 
 /// Time within which a configuration must be in force at all hosts.
@@ -31,9 +31,13 @@
 }
 
 async fn start_fleet(daemons: usize) -> PlatformFleet {
+    start_fleet_with(daemons, |settings| settings).await
+}
+
+async fn start_fleet_with(daemons: usize, change_settings: fn(String) -> String) -> PlatformFleet {
     let models = many_models();
     let names: Vec<&str> = models.iter().map(String::as_str).collect();
-    let fleet = PlatformFleet::start_with(daemons, &names).await;
+    let fleet = PlatformFleet::start_with_settings(daemons, &names, &[], change_settings).await;
     eventually(Duration::from_secs(8), "all follow the leader", || async {
         let follows = |front: &FrontProcess| {
             front.log().iter().any(|line| line["event"] == "leads" || line["source"] == "leader")
@@ -113,3 +117,32 @@
         assert!(late.is_empty(), "too late: {late:?}");
     });
 }
+
+/// Guards against a configuration that is late because the leader falls silent and the daemons' first
+/// calls of their own get no answer either.
+#[test]
+fn layout_beside_silence() {
+    run(async {
+        // Small hosts with the bounds of the larger deployments.
+        let bound = Duration::from_millis(3_000);
+        let change = |text: String| {
+            let text = text.replace("domain = east\n", "domain = east\ncpu_share = 0.12\n");
+            text.replace("grace = 5s\n", "grace = 5s\ndrain = 3s\n")
+        };
+        let fleet = start_fleet_with(3, change).await;
+        let leads = |front: &&FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
+        let leader = fleet.fronts.iter().find(leads).unwrap();
+        leader.suspend();
+        fleet.store.set_mode(StoreMode::SilentWatches);
+        fleet.store.put("op/config", &large_config(10));
+        let written_at = Instant::now();
+        for front in fleet.fronts.iter().filter(|front| front.name != leader.name) {
+            while version_of(front).await != Some(10) {
+                assert!(written_at.elapsed() < bound, "{} is late", front.name);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            eprintln!("{}: in force after {:?}", front.name, written_at.elapsed());
+        }
+        leader.resume();
+    });
+}
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -59,6 +59,16 @@
         daemons: usize,
         models: &[&str],
         copies: &[&str],
+    ) -> PlatformFleet {
+        PlatformFleet::start_with_settings(daemons, models, copies, |text| text).await
+    }
+
+    /// Like [`start_with_copies`](Self::start_with_copies), with a change to the daemons' settings.
+    pub async fn start_with_settings(
+        daemons: usize,
+        models: &[&str],
+        copies: &[&str],
+        change_settings: fn(String) -> String,
     ) -> PlatformFleet {
         let store = StandinStore::start().await;
         let name = format!("mangodeal-platform-{}-{}", std::process::id(), free_port());
@@ -84,7 +94,7 @@
         fleet.store.put("op/config", &config(3, models));
         fleet.write_heartbeats();
         for number in 0..daemons {
-            fleet.add_front(number).await;
+            fleet.add_front(number, change_settings).await;
         }
         for number in 0..daemons {
             fleet.wait_ready(number).await;
@@ -146,7 +156,7 @@
         crashed
     }
 
-    async fn add_front(&mut self, number: usize) {
+    async fn add_front(&mut self, number: usize, change_settings: fn(String) -> String) {
         let store = FaultProxy::start(self.store.address()).await.unwrap();
         let loopback = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let [caller, ready, peer, metrics] = std::array::from_fn(|_| loopback(free_port()));
@@ -159,7 +169,7 @@
             store.address()
         );
         let settings = self.directory.join(format!("{name}.ini"));
-        std::fs::write(&settings, text).unwrap();
+        std::fs::write(&settings, change_settings(text)).unwrap();
         let mut front =
             FrontProcess { name, child: None, settings, caller, ready, metrics, peer, store };
         front.spawn();
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -20,7 +20,7 @@
 use crate::evidence::{self, EVIDENCE_PREFIX};
 use crate::exchange::{log_cold_changes, log_ignored_cold};
 use crate::host::{sleep_until, Host};
-use crate::layout::{apply_layout, confirm_layout, LayoutSource};
+use crate::layout::{self, apply_layout, confirm_layout, LayoutSource};
 use crate::logging::LogLine;
 use crate::store::StoreError;
 use crate::{orders, peer};
@@ -40,7 +40,7 @@
 /// time-out.
 const FRESHNESS_SLACK: Duration = Duration::from_millis(1_000);
 /// Wait of a watch that only reads changes that have already happened.
-const NO_WAIT: Duration = Duration::from_millis(1);
+pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
 /// Least time between two answers of the leader's watch. It is short because all other daemons
 /// depend on it.
 const LEADER_PAUSE: Duration = Duration::from_millis(300);
@@ -418,6 +418,11 @@
                     self.host.unread_values.borrow_mut().resolve(key, revision);
                     self.apply_event(now, event)
                 }
+                FollowedChange::Omitted(key, revision)
+                    if key == LAYOUT_KEY && layout::has_read(&self.host, revision) =>
+                {
+                    false
+                }
                 FollowedChange::Omitted(key, revision) => {
                     let class = class_of(&key);
                     self.host.unread_values.borrow_mut().note(now, class, &key, revision);
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -99,6 +99,8 @@
     pub(crate) layout_item: RefCell<Option<KeyValue>>,
     /// How recently the layout was known to be the latest one.
     pub(crate) layout_freshness: Cell<LayoutFreshness>,
+    /// Notified when a check of the layout may be due earlier than before.
+    pub(crate) layout_check_due: Notify,
     /// Notified when the leader has answered a report or stayed silent.
     pub(crate) relay_changed: Notify,
     /// Notified when the list of targets is fresh again.
@@ -159,7 +161,8 @@
             relayed_batches: RefCell::default(),
             unread_values: RefCell::new(UnreadValues::new(settings.watch_pause)),
             layout_item: RefCell::default(),
-            layout_freshness: Cell::default(),
+            layout_freshness: Cell::new(LayoutFreshness::new(settings.apply)),
+            layout_check_due: Notify::new(),
             relay_changed: Notify::new(),
             list_refreshed: Notify::new(),
             state_changed: Notify::new(),
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -1,17 +1,23 @@
-//! The layout in force, and how recently it was known to be the latest one.
+//! The layout in force, and the task that keeps it current when the leader and the follower of the
+//! store can't.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
-use base::Time;
+use base::{Revision, Time};
 use daemon::boot_time;
 use fleet::ColdSetting;
 use lead::ValueClass;
-use node::KeyValue;
-use platform::document::read_layout;
+use node::{KeyEvent, KeyValue};
+use platform::document::{read_layout, LAYOUT_KEY};
+use platform::store::WatchReply;
 
 use crate::exchange::log_ignored_cold;
-use crate::host::Host;
+use crate::follow::NO_WAIT;
+use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
+use crate::orders;
+use crate::store::StoreError;
 
 /// How a daemon got a layout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,7 +26,7 @@
     Snapshot,
     /// With a change, from the daemon's own watch or from the leader.
     Change,
-    /// By a read of the value, because the leader left it out.
+    /// By a read of the value, because the leader left it out or nothing confirmed the former one.
     Read,
     /// From the leader, because the store didn't return the value.
     Leader,
@@ -41,7 +47,9 @@
 /// Applies a layout, unless it is malformed or older than the present one. Returns whether it was
 /// applied.
 pub(crate) fn apply_layout(host: &Host, item: &KeyValue, source: LayoutSource) -> bool {
-    host.layout_item.borrow_mut().replace(item.clone());
+    if !has_read(host, item.revision) {
+        host.layout_item.borrow_mut().replace(item.clone());
+    }
     let layout = match read_layout(&item.value) {
         Ok(layout) => Arc::new(layout),
         Err(error) => {
@@ -71,13 +79,103 @@
     true
 }
 
+/// Returns whether the layout was read at this revision or a later one.
+pub(crate) fn has_read(host: &Host, revision: Revision) -> bool {
+    host.layout_item.borrow().as_ref().is_some_and(|item| item.revision >= revision)
+}
+
+/// Records that the leader left a report unanswered on whose changes the daemon relies.
+pub(crate) fn record_silence(host: &Host) {
+    let mut freshness = host.layout_freshness.get();
+    freshness.record_silence();
+    host.layout_freshness.set(freshness);
+    host.layout_check_due.notify_one();
+}
+
+/// Checks the layout whenever nothing else has confirmed it for too long. It runs beside the follower,
+/// whose calls for everything else may take longer than a layout may be late.
+pub(crate) async fn keep_current(host: Rc<Host>) {
+    loop {
+        let due = host.layout_freshness.get().next_check();
+        if due.is_none_or(|due| boot_time() < due) {
+            let sleep = async {
+                match due {
+                    Some(due) => sleep_until(due).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = host.layout_check_due.notified() => {}
+                () = sleep => {}
+            }
+            continue;
+        }
+        let asked_at = boot_time();
+        let age = host.layout_freshness.get().age(asked_at).unwrap_or_default();
+        let result = check_layout(&host).await;
+        let now = boot_time();
+        let line = LogLine::new("layout_checked")
+            .with("age_ms", age.as_millis() as u64)
+            .with("took_ms", now.since(asked_at).as_millis() as u64);
+        match result {
+            Ok(is_new) => line.with("is_new", is_new).info(),
+            Err(error) => {
+                let mut freshness = host.layout_freshness.get();
+                freshness.fail_check(now);
+                host.layout_freshness.set(freshness);
+                line.text("error", &error).info();
+            }
+        }
+    }
+}
+
+/// Asks the store whether there is a newer layout and applies it. Returns whether there was one.
+async fn check_layout(host: &Host) -> Result<bool, StoreError> {
+    let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
+    if !is_unread {
+        let asked_at = boot_time();
+        let limit = host.layout_freshness.get().change_timeout();
+        let watch = host.store.watch(LAYOUT_KEY, host.known_revision.get(), NO_WAIT);
+        // Any failure, also a history that is gone, leaves the value itself to be read.
+        if let Ok(Ok(WatchReply::Changes(events, _))) = tokio::time::timeout(limit, watch).await {
+            let latest = events.into_iter().rev().find_map(|event| match event {
+                KeyEvent::Put(item) if item.key == LAYOUT_KEY => Some(item),
+                KeyEvent::Put(_) | KeyEvent::Deleted(..) => None,
+            });
+            let is_new = latest.is_some_and(|item| apply_checked(host, &item));
+            confirm_layout(host, asked_at);
+            return Ok(is_new);
+        }
+    }
+    let asked_at = boot_time();
+    let item = host.store.read_key(LAYOUT_KEY).await?;
+    let is_new = item.is_some_and(|item| apply_checked(host, &item));
+    confirm_layout(host, asked_at);
+    Ok(is_new)
+}
+
+/// Applies the latest layout of the store. Returns whether it is new.
+fn apply_checked(host: &Host, item: &KeyValue) -> bool {
+    host.unread_values.borrow_mut().resolve(LAYOUT_KEY, item.revision);
+    let is_new = apply_layout(host, item, LayoutSource::Read);
+    if is_new {
+        orders::update_leader_targets(host);
+        host.state_changed.notify_waiters();
+    }
+    is_new
+}
+
 /// Records that the daemon has all changes of the store up to the time `at`.
 pub(crate) fn confirm_layout(host: &Host, at: Time) {
     // A layout that was left out of the changes and not read yet is not in force.
     if host.unread_values.borrow().unread_since(ValueClass::Layout).is_none() {
         let mut freshness = host.layout_freshness.get();
+        let is_first = freshness.next_check().is_none();
         freshness.confirm(at);
         host.layout_freshness.set(freshness);
+        if is_first {
+            host.layout_check_due.notify_one();
+        }
     }
 }
 
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -26,6 +26,7 @@
 use crate::conn::PooledConn;
 use crate::exchange::{log_limit, MAX_IDLE_TIME};
 use crate::host::{sleep_until, Host, RelayedBatch};
+use crate::layout;
 use crate::logging::LogLine;
 
 /// Time limit of connecting to a peer, or to an engine for a control call.
@@ -115,6 +116,9 @@
 /// have expired; it does so at once if this daemon can lead any fleet, and so should be the next
 /// leader.
 fn record_leader_silence(host: &Host) {
+    if host.relay_view.get().fresh_until(boot_time()).is_some() {
+        layout::record_silence(host);
+    }
     let heard_at = host.dispatcher.borrow().last_leader().1;
     let lease = if host.can_lead_any_fleet() { Duration::ZERO } else { host.settings.lease };
     let mut view = host.relay_view.get();
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -24,7 +24,7 @@
 use crate::host::{sleep_until, Host, MAX_LOOP_PAUSE};
 use crate::logging::{init_logging, LogLine};
 use crate::metrics::Metrics;
-use crate::{caller, conn, election, evidence, follow, orders, peer, FrontSettings};
+use crate::{caller, conn, election, evidence, follow, layout, orders, peer, FrontSettings};
 
 /// How long a new connection may wait for its first request while the daemon stops. Clients send it
 /// at once.
@@ -77,6 +77,7 @@
         .with("incarnation", host.incarnation)
         .info();
     spawn_local(follow::follow(host.clone()));
+    spawn_local(layout::keep_current(host.clone()));
     spawn_local(election::maintain_registration(host.clone()));
     spawn_local(election::run_election(host.clone()));
     spawn_local(peer::run_sync_loop(host.clone()));
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -41,6 +41,7 @@
         &[
             "grace",
             "drain",
+            "apply",
             "evacuation",
             "order_turn",
             "fences_checked",
@@ -107,6 +108,8 @@
     pub return_grace: Duration,
     /// How long a target that leaves continues to serve. After that, no daemon may send to it.
     pub drain: Duration,
+    /// Within which time a new configuration must be in force.
+    pub apply: Duration,
     /// Within which time nothing more may be sent to the targets of an evacuated domain; `None` where
     /// evacuations aren't in use.
     pub evacuation: Option<Duration>,
@@ -215,6 +218,7 @@
             watch_pause,
             return_grace: reader.duration("store", "return_grace", 2_200),
             drain,
+            apply: reader.duration("limits", "apply", drain_ms),
             evacuation,
             grace: reader.duration("limits", "grace", 8_000),
             order_turn: reader.duration("limits", "order_turn", 3_000),
--- a/deploy/settings.ini.tpl
+++ b/deploy/settings.ini.tpl
@@ -15,6 +15,7 @@
 [limits]
 grace = {{bounds.graceS}}s
 drain = {{bounds.drainMs}}ms
+apply = {{bounds.applyMs}}ms
 {{#bounds.evacMs}}evacuation = {{bounds.evacMs}}ms{{/bounds.evacMs}}
 order_turn = {{bounds.leaseMs}}ms
 fences_checked = {{bounds.requireFence|json}}
