Read only the configuration's own key as the configuration

Cause: list_all selects the layout by prefix, the watch by equality. Whether the users' store ever has such a key isn't known, so this is a fault found by reading and not a proven cause of their report.

Evidence: neighbouring_key failed before (version 99 in force instead of 3) and passes now. The same kind of selection elsewhere: the leader's key is compared exactly; the other prefixes end in a slash.

--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -146,3 +146,19 @@
         leader.resume();
     });
 }
+
+/// Guards against another key that begins like the configuration's and is read as the configuration
+/// when a daemon reads the whole store.
+#[test]
+fn neighbouring_key() {
+    run(async {
+        let mut fleet = start_fleet(2).await;
+        fleet.store.put("op/config-next", &large_config(99));
+        fleet.fronts[0].kill();
+        fleet.fronts[0].spawn();
+        fleet.wait_ready(0).await;
+        assert_eq!(version_of(&fleet.fronts[0]).await, Some(3));
+        let late = late_hosts(&fleet).await;
+        assert!(late.is_empty(), "too late: {late:?}");
+    });
+}
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -130,7 +130,7 @@
         host.known_revision.set(self.revision);
         let with_prefix =
             |prefix| items.iter().filter(move |item: &&KeyValue| item.key.starts_with(prefix));
-        for item in with_prefix(LAYOUT_KEY) {
+        if let Some(item) = items.iter().find(|item| item.key == LAYOUT_KEY) {
             apply_layout(&host, item, LayoutSource::Snapshot);
         }
         let entries: Vec<_> = with_prefix(TARGET_PREFIX).filter_map(parse_entry).collect();
