Resume a broken stream only at its software version

What callers saw: nothing yet on our fleets.

Cause: an event stream was taken to be the same at each target that holds the model. The version in a server's entry wasn't read.

Change: TargetEntry has the version (None if it can't be read, which equals nothing). When the first event is passed on, the request is bound to the version of the target it was sent to; choice, second attempts and waits for cold targets look only at targets of that version. Without one, the answer is broken off, and its client may take the stream up. Lines "sent" name the version.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -44,6 +44,6 @@
     PermitReply, PermitRequest, SyncReply, SyncReport, TargetOccupancy, TeamDraw, TeamGrant,
 };
 pub use target::{
-    HeldModel, ModelRef, PromptPart, TargetDeparture, TargetEntry, TargetLoad, TargetPhase,
-    TargetSlowdown, WeightCopies,
+    HeldModel, ModelRef, PromptPart, SoftwareVersion, TargetDeparture, TargetEntry, TargetLoad,
+    TargetPhase, TargetSlowdown, WeightCopies,
 };
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -110,6 +110,8 @@
     pub copies: Option<WeightCopies>,
     /// How long the target stays cold from when the entry was read, if it says so.
     pub cold: ColdNotice,
+    /// Version of the target's software; `None` if the entry's value can't be read.
+    pub version: Option<SoftwareVersion>,
 }
 
 impl TargetEntry {
@@ -138,6 +140,63 @@
     }
 }
 
+/// Version of a target's software. Versions are equal or not; they have no order that matters.
+///
+/// A target that states no version has the default one.
+///
+/// # Example
+///
+/// ```
+/// use mango_fleet::SoftwareVersion;
+///
+/// let version: SoftwareVersion = "v2-rc.1".parse()?;
+/// assert_eq!(version.to_string(), "v2-rc.1");
+/// assert_ne!(version, SoftwareVersion::default());
+/// assert!("a\nb".parse::<SoftwareVersion>().is_err());
+/// # Ok::<(), base::ParseError>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Largest length in bytes that is accepted.
+    const MAX_LEN: usize = 200;
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<SoftwareVersion, ParseError> {
+        let is_valid =
+            text.len() <= SoftwareVersion::MAX_LEN && !text.chars().any(char::is_control);
+        let version = is_valid.then(|| SoftwareVersion(text.to_owned()));
+        version.ok_or_else(|| {
+            ParseError::new("version", text, "at most 200 bytes without control characters")
+        })
+    }
+}
+
+impl TryFrom<String> for SoftwareVersion {
+    type Error = ParseError;
+
+    fn try_from(text: String) -> Result<SoftwareVersion, ParseError> {
+        text.parse()
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> String {
+        version.0
+    }
+}
+
 /// How long work takes on a target at present, relative to its usual time.
 ///
 /// # Example
--- a/crates/front/src/choice.rs
+++ b/crates/front/src/choice.rs
@@ -126,7 +126,7 @@
         let mut scored = Vec::new();
         for state in targets
             .of_service(now, &request.service)
-            .filter(|s| request.may_try(&s.entry.name) && targets.allows(now, s, request, access))
+            .filter(|s| request.may_try(&s.entry) && targets.allows(now, s, request, access))
         {
             let (estimate, occupied) = self.plain_estimate(now, request, targets, state);
             let slots = state.entry.slots.max(1);
@@ -321,7 +321,7 @@
     let base = ModelRef { model: subject.model.clone(), adapter: None };
     let holders = targets
         .of_service(now, &request.service)
-        .filter(|s| s.holds(now, &base) && request.may_try(&s.entry.name))
+        .filter(|s| s.holds(now, &base) && request.may_try(&s.entry))
         .filter(|s| targets.allows(now, s, request, access));
     let has_failed = |name: &TargetName| {
         request.failed_fetches.iter().any(|(failed, until)| failed == name && now < *until)
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -28,7 +28,7 @@
 use crate::record::PromptChain;
 use crate::request::{
     Arrival, AttemptEnd, FetchEnd, OpenRequest, PermitEnd, PrefillState, Refusal, RequestStage,
-    Step,
+    Step, VersionScope,
 };
 use crate::retry::RetryBudget;
 use crate::targets::{AnswerProgress, TargetTable};
@@ -370,6 +370,8 @@
             deadline: now + max_wait,
             first_event_by: now + max_wait.min(first_patience(route)),
             tried: Vec::new(),
+            sent_version: None,
+            versions: VersionScope::default(),
             sends: 0,
             fetches: 0,
             permit: None,
@@ -480,6 +482,7 @@
             name != target
                 && !request.tried.contains(name)
                 && !state.is_avoided(now)
+                && request.versions.includes(state.entry.version.as_ref())
                 && holds
                 && !needs_permit
         });
@@ -528,6 +531,16 @@
         }
     }
 
+    /// Records that the first event of a stream is about to be passed on. From then on only targets
+    /// with the same software version may continue it.
+    pub fn record_stream_start(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            if request.versions == VersionScope::Any {
+                request.versions = VersionScope::Only(request.sent_version.clone());
+            }
+        }
+    }
+
     /// Returns the address of the target that a request runs on, if the request may be the reason when
     /// the target has crashed: its answer has not begun, or only just.
     pub fn suspect_address(&self, now: Time, id: u64) -> Option<SocketAddr> {
@@ -593,6 +606,7 @@
             }
         }
         let may_retry = request.route.kind.is_repeatable()
+            && request.versions != VersionScope::Only(None)
             && request.has_attempts()
             && (end != AttemptEnd::Crashed || request.is_cleared);
         let should_retry = match end {
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -378,13 +378,15 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no such request"));
         };
-        let Some(address) = self.targets.entry(&choice.target).map(|entry| entry.address) else {
+        let Some(entry) = self.targets.entry(&choice.target) else {
             return Step::Refuse(request.to_refusal(
                 ResultCode::NoCapacity,
                 RETRY_AFTER,
                 "no target",
             ));
         };
+        let address = entry.address;
+        request.sent_version = entry.version.clone();
         if request.sends > 0 {
             let retry_budget = self.retry_budgets.get_mut(&request.service);
             if !retry_budget.is_some_and(|retry_budget| retry_budget.take(now, self.daemons)) {
@@ -430,6 +432,7 @@
             repeatable,
             reroute_at,
             send_by: permit.map(|(_, end)| end),
+            version: request.sent_version.clone(),
             note: choice.note,
         }))
     }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
-use fleet::{LayoutVersion, ModelRef, PermitRequest, PromptPart, RouteEntry, TargetLoad};
+use fleet::{
+    LayoutVersion, ModelRef, PermitRequest, PromptPart, RouteEntry, SoftwareVersion, TargetEntry,
+    TargetLoad,
+};
 use limit::{PermitDenial, PermitUse};
 use prefill::PrefillRequest;
 use suspect::{ContentDigest, SuspectRequest};
@@ -99,6 +102,8 @@
     pub reroute_at: Option<Time>,
     /// End of the permit that the request needs if its target is limited.
     pub send_by: Option<Time>,
+    /// Version of the target's software; `None` if it can't be read.
+    pub version: Option<SoftwareVersion>,
     /// Basis of the choice, for the log.
     pub note: ChoiceNote,
 }
@@ -214,6 +219,27 @@
     Unscheduled,
 }
 
+/// Software versions of the targets that may serve a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum VersionScope {
+    /// The client has received nothing that the rest must fit.
+    #[default]
+    Any,
+    /// The client has received events from a target of this version; `None` if it can't be read.
+    Only(Option<SoftwareVersion>),
+}
+
+impl VersionScope {
+    /// Returns whether a target of this version may serve the request. An unreadable version fits
+    /// nothing, not even another unreadable one.
+    pub(crate) fn includes(&self, version: Option<&SoftwareVersion>) -> bool {
+        match self {
+            VersionScope::Any => true,
+            VersionScope::Only(begun) => begun.is_some() && begun.as_ref() == version,
+        }
+    }
+}
+
 /// An open request.
 #[derive(Clone, Debug)]
 pub(crate) struct OpenRequest {
@@ -240,6 +266,9 @@
     pub(crate) first_event_by: Time,
     /// Targets that bytes were sent to.
     pub(crate) tried: Vec<TargetName>,
+    /// Version of the target that the request was last sent to.
+    pub(crate) sent_version: Option<SoftwareVersion>,
+    pub(crate) versions: VersionScope,
     /// Number of sends, including those to the same target.
     pub(crate) sends: u32,
     pub(crate) fetches: u32,
@@ -260,8 +289,13 @@
 }
 
 impl OpenRequest {
-    /// Returns whether the request may be sent to a target within the route's number of attempts.
-    pub(crate) fn may_try(&self, target: &TargetName) -> bool {
+    /// Returns whether the request may be sent to a target within the route's number of attempts, and
+    /// whether the target's software fits what the client has received.
+    pub(crate) fn may_try(&self, entry: &TargetEntry) -> bool {
+        self.versions.includes(entry.version.as_ref()) && self.has_attempt_for(&entry.name)
+    }
+
+    fn has_attempt_for(&self, target: &TargetName) -> bool {
         if matches!(&self.prefill, PrefillState::Reserved(reserved, _) if reserved != target) {
             return false;
         }
--- a/crates/front/tests/cold_targets.rs
+++ b/crates/front/tests/cold_targets.rs
@@ -42,6 +42,7 @@
         models: Vec::new(),
         copies: None,
         cold,
+        version: Some(Default::default()),
     }
 }
 
--- a/crates/front/tests/evacuated_targets.rs
+++ b/crates/front/tests/evacuated_targets.rs
@@ -46,6 +46,7 @@
         models: Vec::new(),
         copies: None,
         cold: Default::default(),
+        version: Some(Default::default()),
     };
     dispatcher.targets_mut().apply_entry(Time::ZERO, entry);
 }
--- a/crates/front/tests/prefill_schedule.rs
+++ b/crates/front/tests/prefill_schedule.rs
@@ -78,6 +78,7 @@
         models: vec![HeldModel { name: "lace".parse().unwrap(), version: 1, adapters: Vec::new() }],
         copies: None,
         cold: Default::default(),
+        version: Some(Default::default()),
     }
 }
 
--- a/crates/front/tests/removed_targets.rs
+++ b/crates/front/tests/removed_targets.rs
@@ -19,6 +19,7 @@
         models: Vec::new(),
         copies: None,
         cold: Default::default(),
+        version: Some(Default::default()),
     }
 }
 
--- a/crates/front/tests/request_preview.rs
+++ b/crates/front/tests/request_preview.rs
@@ -87,6 +87,7 @@
             models: models.iter().map(held).collect(),
             copies: None,
             cold: Default::default(),
+            version: Some(Default::default()),
         };
         dispatcher.targets_mut().apply_entry(at(0), entry);
     }
--- a/crates/front/tests/target_choice.rs
+++ b/crates/front/tests/target_choice.rs
@@ -64,6 +64,7 @@
         models: models.iter().map(held).collect(),
         copies: None,
         cold: Default::default(),
+        version: Some(Default::default()),
     }
 }
 
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -41,6 +41,7 @@
         models: held(models),
         copies: None,
         cold: ColdNotice::Absent,
+        version: Some(Default::default()),
     }
 }
 
--- a/crates/lead/tests/fleet_limit.rs
+++ b/crates/lead/tests/fleet_limit.rs
@@ -135,6 +135,7 @@
                 models: Vec::new(),
                 copies: None,
                 cold: ColdNotice::Absent,
+                version: Some(Default::default()),
             },
         );
     }
--- a/crates/lead/tests/store_relay.rs
+++ b/crates/lead/tests/store_relay.rs
@@ -313,6 +313,7 @@
         models: Vec::new(),
         copies: None,
         cold: Default::default(),
+        version: Some(Default::default()),
     };
     let name: TargetName = "t-1".parse().unwrap();
     for has_announced in [true, false] {
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -472,6 +472,7 @@
             .with("estimate_ms", note.estimate.as_millis() as u64)
             .with("kept_tokens", note.kept_tokens)
             .with("slowdown", note.slowdown_percent)
+            .with("version", dispatch.version.as_ref().map(ToString::to_string))
             .with("listing_age_ms", note.listing_age.as_millis() as u64)
             .info();
         let outcome = tokio::select! {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -419,7 +419,10 @@
         if broken.is_some_and(|broken| !continue_after(&events, &broken.last_event)) {
             return AttemptOutcome::End(AttemptEnd::Broken);
         }
-        host.dispatcher.borrow_mut().record_answer_start(boot_time(), id, head.load);
+        let mut dispatcher = host.dispatcher.borrow_mut();
+        dispatcher.record_answer_start(boot_time(), id, head.load);
+        dispatcher.record_stream_start(id);
+        drop(dispatcher);
         let first_events = Some(events);
         let stream =
             OpenStream { status, headers, first_events, splitter, charge, body, conn, address };
