Continue a stream that its client takes up only at the version that began it

Cause: a second request was a new request. The header Resumes wasn't read, and no daemon knew where a stream had begun; what one knew would have been gone with a restart.

Change: new crate origin. The store has, by service, at which versions streams can have begun; while that is one, nothing is recorded. A stream that can't go on is refused at once, code 1309.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -89,6 +89,8 @@
     RequestCondemned = 1307, 400, no, "the same request has crashed the targets that began to run it";
     /// The request's body does not fit into the memory for buffered bodies.
     BuffersFull = 1308, 503, no, "this host has no memory for the request at present";
+    /// The stream that the request takes up can't be continued.
+    StreamUnavailable = 1309, 503, no, "the stream can't be continued; it has to be requested anew";
     /// The request is malformed.
     BadRequest = 1401, 400, no, "the request is malformed";
     /// The request is larger than allowed.
--- a/crates/fleet/src/layout.rs
+++ b/crates/fleet/src/layout.rs
@@ -46,6 +46,11 @@
         matches!(self, RouteKind::Safe | RouteKind::Stream { resumable: true })
     }
 
+    /// Returns whether the answer is a stream that can be continued from any of its events.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, RouteKind::Stream { resumable: true })
+    }
+
     /// Returns whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, RouteKind::Stream { .. })
--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -18,6 +18,7 @@
 };
 
 use limit::{ColdNotice, LimitNotice, PERMIT_VALIDITY};
+use origin::StreamOrigin;
 use suspect::{
     CrashId, CrashLedger, CrashVerdict, PartId, RequestDigest, SuspectRequest, UnixMillis,
 };
@@ -56,6 +57,8 @@
 /// A request whose first event arrived at most this long before its target crashed may be the one that
 /// crashed it.
 const BEGUN_SPAN: Duration = Duration::from_millis(50);
+/// How much longer than its route's time-out a client may take up a stream.
+const TAKE_UP_SLACK: Duration = Duration::from_secs(5);
 /// Weight of a team's priority relative to that of a route.
 const TEAM_WEIGHT: u8 = 3;
 
@@ -323,9 +326,18 @@
         if team.is_none() && layout.has_teams() && !route.allows_anonymous {
             return Err(Refusal::new(ResultCode::KeyRejected, "unknown key"));
         }
-        let service = route
-            .choose_service(arrival.draw)
-            .ok_or_else(|| Refusal::new(ResultCode::NotFound, "no service"))?;
+        let origin = arrival.origin.as_ref().filter(|_| route.kind.is_resumable());
+        let service = match origin {
+            None => route.choose_service(arrival.draw),
+            Some(origin) => {
+                let mut services = route.services.iter().map(|entry| &entry.service);
+                let service = services.find(|service| **service == origin.service);
+                Some(service.ok_or_else(|| {
+                    Refusal::new(ResultCode::StreamUnavailable, "stream of another service")
+                })?)
+            }
+        };
+        let service = service.ok_or_else(|| Refusal::new(ResultCode::NotFound, "no service"))?;
         let suspect = SuspectRequest::new(
             team.map(|team| team.name.clone()),
             RequestDigest::new(&arrival.content, team.map(|team| &team.name)),
@@ -371,7 +383,8 @@
             first_event_by: now + max_wait.min(first_patience(route)),
             tried: Vec::new(),
             sent_version: None,
-            versions: VersionScope::default(),
+            versions: origin
+                .map_or(VersionScope::Any, |origin| VersionScope::Only(origin.version.clone())),
             sends: 0,
             fetches: 0,
             permit: None,
@@ -408,6 +421,40 @@
         RequestDigest::new(&arrival.content, team.map(|team| &team.name))
     }
 
+    /// Returns the service of a request that arrives, if its answer is a stream that clients may take up
+    /// and its caller may ask for it.
+    pub fn resumable_service(&self, arrival: &Arrival) -> Option<&Name> {
+        let layout = self.layout.as_ref()?;
+        let route = layout.route(&arrival.host, &arrival.path)?;
+        let has_team = arrival.key.as_ref().is_some_and(|key| layout.team_of(key).is_some());
+        let is_allowed = has_team || route.allows_anonymous || !layout.has_teams();
+        let service = route.choose_service(arrival.draw)?;
+        (is_allowed && route.kind.is_resumable()).then_some(service)
+    }
+
+    /// Returns where the stream began that a request's client receives, and for how long the client may
+    /// take it up; `None` if it can't do so or nothing has arrived.
+    pub fn begun_origin(&self, id: u64) -> Option<(StreamOrigin, Duration)> {
+        let request = self.requests.get(&id).filter(|request| request.is_resumable())?;
+        let VersionScope::Only(version) = &request.versions else { return None };
+        let origin = StreamOrigin { service: request.service.clone(), version: version.clone() };
+        Some((origin, request.route.timeout + TAKE_UP_SLACK))
+    }
+
+    /// Returns the services whose streams clients may take up, each with the longest time from the
+    /// beginning of a stream until then.
+    pub fn resumable_services(&self) -> SortedMap<Name, Duration> {
+        let mut services = SortedMap::default();
+        let routes = self.layout.iter().flat_map(|layout| layout.routes());
+        for route in routes.filter(|route| route.kind.is_resumable()) {
+            for entry in &route.services {
+                let lifetime = services.entry(entry.service.clone(), Duration::default);
+                *lifetime = (*lifetime).max(route.timeout + TAKE_UP_SLACK);
+            }
+        }
+        services
+    }
+
     /// Returns the route of a request.
     pub fn route_of(&self, id: u64) -> Option<&fleet::RouteEntry> {
         self.requests.get(&id).map(|request| &request.route)
@@ -482,7 +529,7 @@
             name != target
                 && !request.tried.contains(name)
                 && !state.is_avoided(now)
-                && request.versions.includes(state.entry.version.as_ref())
+                && self.targets.fits_version(state, request)
                 && holds
                 && !needs_permit
         });
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -9,7 +9,9 @@
 use super::{condemned_code, RequestDispatcher, RETRY_AFTER, SYNC_INTERVAL, SYNC_PAUSE};
 use crate::budget::{ChargeResult, RequestCharge};
 use crate::choice::Choice;
-use crate::request::{Dispatch, OpenRequest, PrefillState, Refusal, RequestStage, Step};
+use crate::request::{
+    Dispatch, OpenRequest, PrefillState, Refusal, RequestStage, Step, VersionScope,
+};
 use crate::targets::TargetAccess;
 
 /// How long a request waits for the leader's first statement on its model.
@@ -34,6 +36,8 @@
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Pause before checking again whether a paused target has answered its probe.
 const PROBE_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before checking again whether streams may begin at the versions that hold a model.
+const VERSION_PAUSE: Duration = Duration::from_millis(100);
 /// How long a copy of a suspected request may run before the next one is sent, and the pause before
 /// looking at it again.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
@@ -84,6 +88,17 @@
                 reason,
             ));
         }
+        if let VersionScope::Only(version) = &request.versions {
+            let has_version = version
+                .as_ref()
+                .is_some_and(|version| self.targets.has_version(&request.service, version));
+            if !has_version && request.sends == 0 {
+                let reason = "no target of the stream's version";
+                let refusal =
+                    request.to_refusal(ResultCode::StreamUnavailable, Duration::ZERO, reason);
+                return Step::Refuse(Refusal { retry_after: None, ..refusal });
+            }
+        }
         if self.awaits_trial(now, id, request) {
             return Step::Wait((now + TRIAL_PAUSE).min(request.deadline));
         }
@@ -221,6 +236,9 @@
             let reason = "no other target";
             return Step::Refuse(request.to_refusal(ResultCode::NoCapacity, RETRY_AFTER, reason));
         }
+        if let Some(step) = self.version_step(now, request, subject) {
+            return step;
+        }
         if self.demand_table.waiting_since(&subject.model, id).is_none() {
             self.counts.load_waits += 1;
         }
@@ -260,6 +278,31 @@
         }
     }
 
+    /// Returns the step for a request whose model only targets of other software versions hold, so that
+    /// the leader loads it nowhere else.
+    fn version_step(&self, now: Time, request: &OpenRequest, subject: &ModelRef) -> Option<Step> {
+        let base = ModelRef { model: subject.model.clone(), adapter: None };
+        let mut holders = self
+            .targets
+            .of_service(now, &request.service)
+            .filter(|state| state.holds(now, &base))
+            .peekable();
+        holders.peek()?;
+        if holders.any(|state| self.targets.fits_version(state, request)) {
+            return None;
+        }
+        Some(match &request.versions {
+            // Streams may soon begin at the other versions.
+            VersionScope::Any => Step::Wait((now + VERSION_PAUSE).min(request.first_event_by)),
+            VersionScope::Only(_) => {
+                let reason = "no target of the stream's version has the model";
+                let refusal =
+                    request.to_refusal(ResultCode::StreamUnavailable, Duration::ZERO, reason);
+                Step::Refuse(Refusal { retry_after: None, ..refusal })
+            }
+        })
+    }
+
     /// Chooses a target, and how the request may use it. Targets without a limit that aren't cold come
     /// first.
     fn find_choice(
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -9,6 +9,7 @@
     TargetLoad,
 };
 use limit::{PermitDenial, PermitUse};
+use origin::StreamOrigin;
 use prefill::PrefillRequest;
 use suspect::{ContentDigest, SuspectRequest};
 
@@ -35,6 +36,8 @@
     pub content: ContentDigest,
     /// Uniformly distributed number, the same for every daemon that gets the request.
     pub draw: u64,
+    /// Where the stream began that the request continues, if it does.
+    pub origin: Option<StreamOrigin>,
 }
 
 impl Arrival {
@@ -307,6 +310,11 @@
         self.has_attempts()
     }
 
+    /// Returns whether the request's answer is a stream that its client may take up with another request.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.route.kind.is_resumable()
+    }
+
     /// Returns the end of the request's permit for a target, if it has one that is valid.
     pub(crate) fn permit_end(&self, now: Time, target: &TargetName) -> Option<Time> {
         let (permitted, end) = self.permit.as_ref()?;
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod evacuation;
+mod versions;
 
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
     TargetSlowdown,
 };
 use limit::{ColdSpec, ColdTable, LimitNotice, LimitTable, RequestRate};
+use origin::ServiceMixes;
 
 use crate::record::PartRecord;
 use crate::request::{AttemptEnd, OpenRequest};
@@ -358,6 +360,7 @@
     /// Until when targets are cold, and the services whose targets can be.
     cold: ColdTable,
     cold_specs: SortedMap<Name, ColdSpec>,
+    mixes: ServiceMixes,
     /// Set once a whole list was applied. Starts that are listed later happened during operation.
     has_list: bool,
     /// When the leader last reported other daemons' requests.
@@ -587,6 +590,9 @@
         request: &OpenRequest,
         access: TargetAccess,
     ) -> bool {
+        if !self.fits_version(state, request) {
+            return false;
+        }
         let name = &state.entry.name;
         let is_limited = self.limits.rate(name, state.entry.born_ms).is_some();
         let is_cold = self.cold.rate(now, name, state.entry.born_ms).is_some();
--- a/crates/front/src/targets/cold.rs
+++ b/crates/front/src/targets/cold.rs
@@ -170,6 +170,7 @@
         let usable = self.of_service(now, &request.service).filter(|state| {
             base.as_ref().is_none_or(|base| state.holds(now, base))
                 && request.may_try(&state.entry)
+                && self.fits_version(state, request)
                 && request.permit_asks < MAX_COLD_ASKS
         });
         usable.filter_map(wait).min()
--- a/crates/front/tests/stream_versions.rs
+++ b/crates/front/tests/stream_versions.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{Time, TokenCount};
+use base::{ResultCode, Revision, Time, TokenCount};
 use fleet::{
     EngineSpec, FleetLayout, HeldModel, ModelRef, RouteEntry, RouteKind, ServiceEntry,
     ServiceWeight, SoftwareVersion, TargetEntry, TargetPhase,
 };
 use mango_front::{Arrival, AttemptEnd, DispatcherConfig, NextAction, RequestDispatcher, Step};
+use origin::{StreamOrigin, VersionMix};
 
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -72,10 +73,19 @@
 }
 
 fn admit(dispatcher: &mut RequestDispatcher) -> u64 {
+    dispatcher.admit(at(10), &arrival(None)).unwrap()
+}
+
+/// Returns a request that continues a stream which began at the given version, or begins one.
+fn arrival(begun: Option<&str>) -> Arrival {
     let mut arrival = Arrival::new("desk.example", "/stream/x");
     arrival.model = Some(ModelRef { model: "m".parse().unwrap(), adapter: None });
     arrival.tokens = Some((TokenCount(900), TokenCount(50)));
-    dispatcher.admit(at(10), &arrival).unwrap()
+    arrival.origin = begun.map(|version| StreamOrigin {
+        service: "engines".parse().unwrap(),
+        version: Some(version).filter(|version| *version != "?").map(parse_version),
+    });
+    arrival
 }
 
 /// Returns the version that the request is sent to next, or `None` if it is refused.
@@ -138,3 +148,70 @@
     assert_eq!(dispatcher.finish_attempt(at(50), id, AttemptEnd::Broken), NextAction::Retry);
     assert_eq!(next_version(&mut dispatcher, at(51), id).as_deref(), Some("v2"));
 }
+
+/// Versions of the engines, that of the stream, and where it goes on.
+const TAKE_UPS: [(&[&str], &str, Option<&str>); 6] = [
+    (&["v1", "v2"], "v1", Some("v1")),
+    (&["v1", "v2"], "v2", Some("v2")),
+    (&["v2", "v2"], "v1", None),
+    (&["v1", "?"], "?", None),
+    (&["?"], "v1", None),
+    (&["v1", "v2", "v3"], "v3", Some("v3")),
+];
+
+/// Guards against a stream that its client takes up and that goes on at a target of another version, or
+/// that waits although no target can continue it.
+#[test]
+fn taken_up_stream() {
+    for (versions, begun, expected) in TAKE_UPS {
+        let names: Vec<String> = (0..versions.len()).map(|n| format!("e-{n}")).collect();
+        let engines: Vec<(&str, &str)> =
+            names.iter().map(String::as_str).zip(versions.iter().copied()).collect();
+        let mut dispatcher = dispatcher(&engines);
+        let id = dispatcher.admit(at(10), &arrival(Some(begun))).unwrap();
+        match dispatcher.step(at(11), id) {
+            Step::Send(dispatch) => {
+                let version = dispatch.version.map(|version| version.to_string());
+                assert_eq!(version.as_deref(), expected, "{begun} at {versions:?}");
+            }
+            Step::Refuse(refusal) => {
+                assert_eq!(None, expected, "{begun} at {versions:?}");
+                assert_eq!(refusal.code, ResultCode::StreamUnavailable);
+                assert_eq!(refusal.retry_after, None);
+            }
+            other => panic!("{begun} at {versions:?}: {other:?}"),
+        }
+    }
+}
+
+/// A stream whose model only targets of other versions hold is refused at once.
+#[test]
+fn unheld_model() {
+    let mut dispatcher = dispatcher(&[("e-0", "v1")]);
+    let entry = TargetEntry { models: Vec::new(), ..engine("e-1", "v2") };
+    dispatcher.targets_mut().apply_entry(at(1), entry);
+    let id = dispatcher.admit(at(10), &arrival(Some("v2"))).unwrap();
+    assert!(matches!(dispatcher.step(at(11), id), Step::Refuse(_)));
+}
+
+/// Streams begin only at the versions that the fleet has announced; other requests go anywhere.
+#[test]
+fn announced_versions() {
+    let service = "engines".parse().unwrap();
+    let mut dispatcher = dispatcher(&[("e-0", "v2")]);
+    let set_mix = |dispatcher: &mut RequestDispatcher, mix, revision| {
+        dispatcher.targets_mut().mixes_mut().set(&service, Some(mix), Revision(revision));
+    };
+    set_mix(&mut dispatcher, VersionMix::Only(parse_version("v1")), 1);
+    let id = admit(&mut dispatcher);
+    let Step::Wait(until) = dispatcher.step(at(11), id) else { panic!("sent to v2") };
+    assert!(until > at(11), "a wait without an end");
+    set_mix(&mut dispatcher, VersionMix::Opening(parse_version("v1")), 2);
+    assert!(matches!(dispatcher.step(at(200), id), Step::Wait(_)));
+    dispatcher.targets_mut().apply_entry(at(201), engine("e-1", "v1"));
+    assert_eq!(next_version(&mut dispatcher, at(210), id).as_deref(), Some("v1"));
+    set_mix(&mut dispatcher, VersionMix::Any, 3);
+    dispatcher.targets_mut().remove_target(at(220), &"e-1".parse().unwrap());
+    let id = admit(&mut dispatcher);
+    assert_eq!(next_version(&mut dispatcher, at(230), id).as_deref(), Some("v2"));
+}
--- a/crates/mangodeal/tests/mixed_versions.rs
+++ b/crates/mangodeal/tests/mixed_versions.rs
@@ -53,7 +53,7 @@
 #[test]
 fn broken_stream() {
     run(async {
-        let mut fleet = PlatformFleet::start(1).await;
+        let mut fleet = PlatformFleet::start_with(1, &["a", "b"]).await;
         mix_versions(&mut fleet).await;
         for server in &fleet.servers {
             server.set_mode(ServerMode::BrokenStreams);
@@ -65,3 +65,145 @@
         }
     });
 }
+
+/// Waits until streams may begin at any version at all daemons.
+async fn wait_open(fleet: &PlatformFleet) {
+    eventually(Duration::from_secs(10), "streams may begin at each version", || async {
+        let is_open =
+            |line: &serde_json::Value| line["event"] == "versions_changed" && line["mix"] == "any";
+        fleet.fronts.iter().all(|front| front.log().iter().any(is_open))
+    })
+    .await;
+}
+
+/// Begins a stream at `first` that breaks off after two events.
+async fn begin_stream(fleet: &PlatformFleet, attempt: &str, first: &str) -> String {
+    for server in ["engine-1", "engine-2"] {
+        let mode = if server == first { ServerMode::BrokenStreams } else { ServerMode::Full };
+        fleet.server(server).set_mode(mode);
+    }
+    let answer = model_request(fleet.fronts[0].caller, attempt, "a").send().await.unwrap();
+    assert_eq!(answer.status, 200, "{attempt}");
+    let (text, is_complete) = read_events(answer).await;
+    assert!(!is_complete && text.contains("part 2") && !text.contains("part 3"), "{text}");
+    for server in ["engine-1", "engine-2"] {
+        fleet.server(server).set_mode(ServerMode::Healthy);
+    }
+    text
+}
+
+/// Takes a stream up after its second event.
+async fn take_up(
+    front: &platform_fleet::FrontProcess,
+    attempt: &str,
+    resumes: Option<&str>,
+) -> HttpAnswer {
+    let call = model_request(front.caller, attempt, "a").header("last-event-id", "2");
+    match resumes {
+        Some(first) => call.header("resumes", first.to_owned()),
+        None => call,
+    }
+    .send()
+    .await
+    .unwrap()
+}
+
+async fn restart_all(fleet: &mut PlatformFleet) {
+    fleet.fronts.iter_mut().for_each(|front| front.kill());
+    fleet.fronts.iter_mut().for_each(|front| front.spawn());
+    for number in 0..fleet.fronts.len() {
+        fleet.wait_ready(number).await;
+    }
+}
+
+/// Guards against a stream that its client takes up and that goes on at another software version, at
+/// each daemon, also after all daemons were killed at once.
+#[test]
+fn taken_up_stream() {
+    run(async {
+        let mut fleet = PlatformFleet::start_with(2, &["a", "b"]).await;
+        mix_versions(&mut fleet).await;
+        wait_open(&fleet).await;
+        for is_killed in [false, true] {
+            for first in ["engine-1", "engine-2"] {
+                let attempt = format!("s-{first}-{is_killed}");
+                let begun = begin_stream(&fleet, &attempt, first).await;
+                if is_killed {
+                    restart_all(&mut fleet).await;
+                }
+                for front in &fleet.fronts {
+                    let second = format!("{attempt}-{}", front.name);
+                    let answer = take_up(front, &second, Some(&attempt)).await;
+                    assert_eq!(answer.status, 200, "{second}");
+                    let (rest, is_complete) = read_events(answer).await;
+                    let text = begun.clone() + &rest;
+                    assert!(!is_mixed(&text), "{second}: {text}");
+                    assert!(is_complete && rest.contains("part 6"), "{second}: {rest}");
+                }
+            }
+        }
+    });
+}
+
+/// Guards against a stream that goes on at another version, or is held, because no server of its version
+/// is left, or because nobody knows where it began.
+#[test]
+fn lost_origin() {
+    run(async {
+        let mut fleet = PlatformFleet::start_with(2, &["a", "b"]).await;
+        mix_versions(&mut fleet).await;
+        wait_open(&fleet).await;
+        begin_stream(&fleet, "s-gone", "engine-2").await;
+        fleet.store.delete("servers/engine-2");
+        eventually(Duration::from_secs(10), "the server is gone", || async {
+            fleet.fronts.iter().all(|front| {
+                let log = front.log();
+                let lines = log.iter().filter(|line| line["event"] == "target_gone");
+                lines.filter(|line| line["target"] == "engine-2").count() == 2
+            })
+        })
+        .await;
+        for (name, resumes) in
+            [("gone", Some("s-gone")), ("unknown", Some("nobody")), ("unnamed", None)]
+        {
+            for front in &fleet.fronts {
+                let began_at = std::time::Instant::now();
+                let answer = take_up(front, &format!("{name}-{}", front.name), resumes).await;
+                assert_eq!(answer.status, 503, "{name}");
+                assert!(answer.header("retry-after").is_none(), "{name}");
+                assert!(began_at.elapsed() < Duration::from_secs(1), "{name}");
+                let attempt = format!("{name}-{}", front.name);
+                let is_refusal = |line: &serde_json::Value| {
+                    line["event"] == "refused" && line["request"] == attempt.as_str()
+                };
+                eventually(Duration::from_secs(2), "the refusal is logged", || async {
+                    let log = front.log();
+                    log.iter().any(|line| is_refusal(line) && line["code"] == 1309)
+                })
+                .await;
+            }
+        }
+    });
+}
+
+/// While a service has one version only, each stream can be taken up and none is recorded.
+#[test]
+fn single_version() {
+    run(async {
+        let mut fleet = PlatformFleet::start_with(2, &["a", "b"]).await;
+        eventually(Duration::from_secs(10), "there is one version only", || async {
+            let is_sole = |line: &serde_json::Value| line["event"] == "versions_changed";
+            fleet.fronts.iter().all(|front| front.log().iter().any(is_sole))
+        })
+        .await;
+        begin_stream(&fleet, "s-1", "engine-1").await;
+        restart_all(&mut fleet).await;
+        for front in &fleet.fronts {
+            let answer = take_up(front, &format!("t-{}", front.name), Some("s-1")).await;
+            assert_eq!(answer.status, 200);
+            let (rest, is_complete) = read_events(answer).await;
+            assert!(is_complete && rest.contains("part 6"), "{rest}");
+        }
+        assert!(fleet.store.keys("streams/").is_empty());
+    });
+}
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -31,6 +31,7 @@
 };
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
+use crate::origins::{self, OriginSearch};
 use crate::peer;
 
 /// Longest time to receive the body of a request. An earlier deadline shortens it.
@@ -45,6 +46,8 @@
 
 /// How long the body of a request is read that is refused because the daemon stops.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Retry-after time of a stream whose beginning the store could not be asked for.
+const LOOKUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-after time of a request whose body didn't fit into the daemon's memory.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time limit of finding out whether a target's process has ended.
@@ -243,21 +246,44 @@
         return refuse_while_stopping(request_head.attempt.as_ref());
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let arrival = Arrival {
+    let mut arrival = Arrival {
         host: host_name(&head),
         path: head.uri.path().to_owned(),
         key: request_head.key.as_ref().map(base::SecretKey::hash),
-        time_left: request_head
-            .time_left
-            .map(|left| left.saturating_sub(boot_time().since(received_at))),
+        time_left: None,
         model: request_head.model,
         tokens: request_head.tokens,
         parts: request_head.parts,
         content: ContentDigest::new(head.method.as_str(), path, &body),
         draw: hasher.finish(),
+        origin: None,
     };
+    let search = match request_head.is_continuation {
+        true => {
+            let resumes = request_head.resumes.as_deref();
+            origins::find_origin(&host, &arrival, resumes, &attempt_id).await
+        }
+        false => OriginSearch::NotNeeded,
+    };
+    let unavailable = |reason| Refusal::new(ResultCode::StreamUnavailable, reason);
+    let refused = match search {
+        OriginSearch::NotNeeded => None,
+        OriginSearch::Found(origin) => {
+            arrival.origin = Some(origin);
+            None
+        }
+        OriginSearch::Unknown => Some(unavailable("stream of an unknown version")),
+        OriginSearch::Unavailable => {
+            Some(unavailable("stream can't be looked up").after(LOOKUP_RETRY_AFTER))
+        }
+    };
+    arrival.time_left =
+        request_head.time_left.map(|left| left.saturating_sub(boot_time().since(received_at)));
     let digest = host.dispatcher.borrow().digest_of(&arrival);
-    let admitted = host.dispatcher.borrow_mut().admit(boot_time(), &arrival);
+    let admitted = match refused {
+        Some(refused) => Err(refused),
+        None => host.dispatcher.borrow_mut().admit(boot_time(), &arrival),
+    };
     let id = match admitted {
         Ok(id) => id,
         Err(refused) => {
@@ -355,6 +381,7 @@
             answer.into_response()
         }
         RequestResult::Stream(mut stream) => {
+            origins::record_begin(&host, guard.id, &guard.attempt_id).await;
             host.metrics.observe_first_byte(boot_time().since(guard.received_at));
             let headers = std::mem::take(&mut stream.headers);
             let deadline = host.dispatcher.borrow().deadline(guard.id);
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -22,6 +22,7 @@
 use crate::host::{sleep_until, Host};
 use crate::layout::{self, apply_layout, confirm_layout, LayoutSource};
 use crate::logging::LogLine;
+use crate::origins::{self, MIX_PREFIX, RECORD_PREFIX};
 use crate::store::StoreError;
 use crate::{orders, peer};
 
@@ -117,7 +118,7 @@
     async fn list_all(&mut self) -> Result<(), StoreError> {
         let host = self.host.clone();
         let asked_at = boot_time();
-        let (items, revision) = host.store.range_all(ALL_PREFIX).await?;
+        let (items, revision) = host.store.range_before(RECORD_PREFIX).await?;
         let now = boot_time();
         let is_restored = self.revision.0 > 0 && revision.era() > self.revision.era();
         // A restored store lacks the targets that were added since its copy, until they write again.
@@ -148,12 +149,20 @@
         host.has_listed.set(true);
         host.unread_values.borrow_mut().clear();
         confirm_layout(&host, asked_at);
+        host.confirm_changes(asked_at);
         self.plan.record_snapshot(now);
         self.mark_list_fresh(asked_at);
         let hosts =
             with_prefix(DAEMON_PREFIX).filter_map(|item| election::parse_registration(&item.key));
         host.registered_hosts.borrow_mut().replace_seats(now, hosts);
         election::update_registered_hosts(&host);
+        if is_restored {
+            host.origin_book.borrow_mut().forget_records();
+        }
+        host.dispatcher.borrow_mut().targets_mut().mixes_mut().clear();
+        for item in with_prefix(MIX_PREFIX) {
+            origins::apply_mix(&host, &item.key, Some(item), item.revision);
+        }
         let records = with_prefix(EVIDENCE_PREFIX);
         evidence::apply_records(&host, records.map(|item| (item.key.as_str(), &item.value[..])));
         let leader = with_prefix(DAEMON_PREFIX).find(|item| item.key == LEADER_KEY);
@@ -225,6 +234,7 @@
                     until,
                 );
                 confirm_layout(&self.host, read_at);
+                self.host.confirm_changes(read_at);
             }
         }
         if let Some(until) = fresh_until {
@@ -358,7 +368,9 @@
             }
         };
         if let Some(state) = host.leader_state.borrow_mut().as_mut() {
-            let changes = events.iter().map(|event| self.to_store_change(event)).collect();
+            // Daemons read single records of streams when they need them.
+            let relayed = events.iter().filter(|event| !key_of(event).starts_with(RECORD_PREFIX));
+            let changes = relayed.map(|event| self.to_store_change(event)).collect();
             state.leader.record_changes(asked_at, after, changes, revision);
         }
         let now = boot_time();
@@ -370,6 +382,7 @@
         let has_waited = !has_events && now.since(asked_at) >= wait;
         let read_at = if has_waited { asked_at + wait } else { asked_at };
         confirm_layout(&host, read_at);
+        host.confirm_changes(read_at);
         self.mark_list_fresh(read_at);
         if has_events {
             let has_no_leader = host.leader_entry.borrow().is_none();
@@ -537,6 +550,14 @@
             election::apply_leader(&self.host, revision, entry);
             return false;
         }
+        if key.starts_with(MIX_PREFIX) {
+            let item = match &event {
+                KeyEvent::Put(item) => Some(item),
+                KeyEvent::Deleted(..) => None,
+            };
+            origins::apply_mix(&self.host, key, item, revision_of(&event));
+            return true;
+        }
         if key.starts_with(EVIDENCE_PREFIX) {
             // Evidence ends by its age, not with its record.
             if let KeyEvent::Put(item) = event {
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -11,6 +11,7 @@
 use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
 use lead::{LayoutFreshness, ListValidity, RelayView, SeatRoster, UnreadValues, ValueClass};
 use node::{KeyValue, LeaseId};
+use origin::OriginBook;
 use tokio::sync::Notify;
 
 use crate::conn::ConnPool;
@@ -101,6 +102,14 @@
     pub(crate) layout_freshness: Cell<LayoutFreshness>,
     /// Notified when a check of the layout may be due earlier than before.
     pub(crate) layout_check_due: Notify,
+    /// Time up to which all changes of the store have been applied, except values that were left out.
+    pub(crate) changes_at: Cell<Time>,
+    /// Streams that have begun at this daemon.
+    pub(crate) origin_book: RefCell<OriginBook>,
+    /// Notified when streams may have to be recorded.
+    pub(crate) origins_due: Notify,
+    /// Notified when streams were recorded.
+    pub(crate) origins_recorded: Notify,
     /// Notified when the leader has answered a report or stayed silent.
     pub(crate) relay_changed: Notify,
     /// Notified when the list of targets is fresh again.
@@ -163,6 +172,10 @@
             layout_item: RefCell::default(),
             layout_freshness: Cell::new(LayoutFreshness::new(settings.apply)),
             layout_check_due: Notify::new(),
+            changes_at: Cell::new(Time::ZERO),
+            origin_book: RefCell::default(),
+            origins_due: Notify::new(),
+            origins_recorded: Notify::new(),
             relay_changed: Notify::new(),
             list_refreshed: Notify::new(),
             state_changed: Notify::new(),
@@ -221,6 +234,12 @@
         })
     }
 
+    /// Records that all changes of the store up to the time `at` have been applied, except values that
+    /// were left out.
+    pub(crate) fn confirm_changes(&self, at: Time) {
+        self.changes_at.set(self.changes_at.get().max(at));
+    }
+
     /// Marks the list of targets as fresh when relayed changes are fresh until `fresh_until`. The
     /// list may be used a little longer than these: a leaving target still serves for
     /// `RELAY_MARGIN`.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -37,6 +37,7 @@
 mod logging;
 mod metrics;
 mod orders;
+mod origins;
 mod peer;
 mod run;
 mod settings;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -24,7 +24,9 @@
 use crate::host::{sleep_until, Host, MAX_LOOP_PAUSE};
 use crate::logging::{init_logging, LogLine};
 use crate::metrics::Metrics;
-use crate::{caller, conn, election, evidence, follow, layout, orders, peer, FrontSettings};
+use crate::{
+    caller, conn, election, evidence, follow, layout, orders, origins, peer, FrontSettings,
+};
 
 /// How long a new connection may wait for its first request while the daemon stops. Clients send it
 /// at once.
@@ -78,6 +80,8 @@
         .info();
     spawn_local(follow::follow(host.clone()));
     spawn_local(layout::keep_current(host.clone()));
+    spawn_local(origins::write_records(host.clone()));
+    spawn_local(origins::keep_mixes(host.clone()));
     spawn_local(election::maintain_registration(host.clone()));
     spawn_local(election::run_election(host.clone()));
     spawn_local(peer::run_sync_loop(host.clone()));
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -102,24 +102,27 @@
         })
     }
 
-    /// Reads all pages of a prefix. Returns the revision of the first page: the caller watches from
-    /// there, since later pages may or may not show changes after it.
-    pub(crate) async fn range_all(
+    /// Reads all keys that precede `end`. Returns the revision of the first page: the caller watches
+    /// from there, since later pages may or may not show changes after it.
+    pub(crate) async fn range_before(
         &self,
-        prefix: &str,
+        end: &str,
     ) -> Result<(Vec<KeyValue>, Revision), StoreError> {
-        let first = self.range(prefix, None).await?;
+        let first = self.range("", None).await?;
         let (mut items, mut has_more_pages, revision) =
             (first.items, first.has_more, first.revision);
-        while has_more_pages {
+        let is_before_end =
+            |items: &[KeyValue]| items.last().is_none_or(|item: &KeyValue| item.key.as_str() < end);
+        while has_more_pages && is_before_end(&items) {
             let after = items.last().map(|item| item.key.clone());
-            let page = self.range(prefix, after.as_deref()).await?;
+            let page = self.range("", after.as_deref()).await?;
             if page.revision.era() != revision.era() {
                 return Err(StoreError::Outdated);
             }
             has_more_pages = page.has_more && !page.items.is_empty();
             items.extend(page.items);
         }
+        items.retain(|item| item.key.as_str() < end);
         Ok((items, revision))
     }
 
