Soak servers of two software versions and streams that are taken up

Change: engines of another version start during a run, clients take broken streams up at random daemons, and no stream may have events of two versions.

--- a/crates/mangodeal/tests/mixed_versions.rs
+++ b/crates/mangodeal/tests/mixed_versions.rs
@@ -8,7 +8,7 @@
 use common::{eventually, run};
 use mangodeal::client::HttpAnswer;
 use platform_fleet::platform_standin::ServerMode;
-use platform_fleet::{model_request, PlatformFleet};
+use platform_fleet::{has_two_versions, model_request, read_events, FrontProcess, PlatformFleet};
 
 /// Replaces `engine-2` by a server of another version and waits until all daemons list it.
 async fn mix_versions(fleet: &mut PlatformFleet) {
@@ -29,25 +29,6 @@
     .await;
 }
 
-/// Reads a stream as far as it comes. Also returns whether it ended as complete.
-async fn read_events(mut answer: HttpAnswer) -> (String, bool) {
-    let mut text = String::new();
-    loop {
-        match answer.next().await {
-            Ok(Some(chunk)) => text.push_str(&String::from_utf8_lossy(&chunk)),
-            Ok(None) => return (text, true),
-            Err(_) => return (text, false),
-        }
-    }
-}
-
-/// Returns whether a text has parts of both versions.
-fn is_mixed(text: &str) -> bool {
-    let parts: Vec<&str> = text.lines().filter(|line| line.starts_with("data:")).collect();
-    let second = parts.iter().filter(|line| line.ends_with("v2")).count();
-    second > 0 && second < parts.len()
-}
-
 /// Guards against an answer that is joined from two software versions, because the server that began it
 /// breaks off.
 #[test]
@@ -61,7 +42,7 @@
         for number in 0..12 {
             let call = model_request(fleet.fronts[0].caller, &format!("s-{number}"), "a");
             let (text, _) = read_events(call.send().await.unwrap()).await;
-            assert!(!is_mixed(&text), "{text}");
+            assert!(!has_two_versions(&text), "{text}");
         }
     });
 }
@@ -93,11 +74,7 @@
 }
 
 /// Takes a stream up after its second event.
-async fn take_up(
-    front: &platform_fleet::FrontProcess,
-    attempt: &str,
-    resumes: Option<&str>,
-) -> HttpAnswer {
+async fn take_up(front: &FrontProcess, attempt: &str, resumes: Option<&str>) -> HttpAnswer {
     let call = model_request(front.caller, attempt, "a").header("last-event-id", "2");
     match resumes {
         Some(first) => call.header("resumes", first.to_owned()),
@@ -137,7 +114,7 @@
                     assert_eq!(answer.status, 200, "{second}");
                     let (rest, is_complete) = read_events(answer).await;
                     let text = begun.clone() + &rest;
-                    assert!(!is_mixed(&text), "{second}: {text}");
+                    assert!(!has_two_versions(&text), "{second}: {text}");
                     assert!(is_complete && rest.contains("part 6"), "{second}: {rest}");
                 }
             }
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -240,6 +240,30 @@
     Some(String::from_utf8(bytes.to_vec()).unwrap())
 }
 
+/// Reads a stream as far as it comes. Also returns whether it ended as complete.
+pub async fn read_events(mut answer: HttpAnswer) -> (String, bool) {
+    let mut text = String::new();
+    loop {
+        match answer.next().await {
+            Ok(Some(chunk)) => text.push_str(&String::from_utf8_lossy(&chunk)),
+            Ok(None) => return (text, true),
+            Err(_) => return (text, false),
+        }
+    }
+}
+
+/// Returns whether the events of a stream come from servers of two versions, the first one and `v2`.
+pub fn has_two_versions(text: &str) -> bool {
+    let parts: Vec<&str> = text.lines().filter(|line| line.starts_with("data:")).collect();
+    let second = parts.iter().filter(|line| line.ends_with("v2")).count();
+    second > 0 && second < parts.len()
+}
+
+/// Returns the id of the last event of a stream.
+pub fn last_event_id(text: &str) -> Option<&str> {
+    text.lines().rev().find_map(|line| line.strip_prefix("id: "))
+}
+
 impl FrontProcess {
     pub fn spawn(&mut self) {
         let open = |extension| {
--- a/crates/mangodeal/tests/platform_soak.rs
+++ b/crates/mangodeal/tests/platform_soak.rs
@@ -17,7 +17,9 @@
 use common::run;
 use mangodeal::client::HttpCall;
 use platform_fleet::platform_standin::{config, ServerMode, StandinServer, StoreMode};
-use platform_fleet::{model_request, read_text, request, PlatformFleet};
+use platform_fleet::{
+    has_two_versions, last_event_id, model_request, read_events, read_text, request, PlatformFleet,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use record::{ColdSpan, FaultRecord, Trouble};
@@ -42,8 +44,10 @@
 const COLD_MAX: f64 = COLD.1 * 1.5 + 5.0;
 /// Time within which all daemons hear that a running server has become cold, as in `fleet_cold`.
 const COLD_HEARD: Duration = Duration::from_secs(1);
-/// Largest number of servers that start during a run.
+/// Largest number of servers of a service that start during a run.
 const MAX_STARTS: usize = 3;
+/// Largest number of times that a client takes up a broken stream.
+const MAX_TAKE_UPS: usize = 3;
 /// Seeds that CI runs. Add a seed that has failed, with the cause.
 const CI_SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -57,6 +61,10 @@
     kind: &'static str,
     status: Option<u16>,
     body: Option<String>,
+    /// Events of a stream, also of one that is incomplete, from all of the client's tries.
+    events: String,
+    /// Number of times that the client took the stream up and it went on.
+    take_ups: usize,
     /// Whether the answer exceeded the time limit; always false for streams.
     is_late: bool,
     /// Whether a process was suspended shortly before or during the request.
@@ -173,7 +181,7 @@
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap();
         suspended_at_ms.store(ms, Ordering::SeqCst);
     };
-    match random.random_range(0..19) {
+    match random.random_range(0..20) {
         0 => {
             record.set(at, Trouble::Stopped, true);
             fleet.fronts[at].kill();
@@ -243,6 +251,7 @@
         15 => record.withdraw(&fleet.store, ["east", "west"][random.random_range(0..2)]),
         16 => become_cold(fleet, record, random.random_bool(0.5)).await,
         17 => set_uneven(fleet, random.random_bool(0.8)),
+        18 => release_engine(fleet).await,
         _ => {
             fleet.servers.iter().for_each(|server| server.set_mode(ServerMode::Healthy));
             fleet.write_heartbeats();
@@ -270,6 +279,17 @@
     record.cold_spans.extend(cold.into_iter().map(span));
 }
 
+/// Starts an engine of another software version.
+async fn release_engine(fleet: &mut PlatformFleet) {
+    let starts = fleet.servers.iter().filter(|server| server.id.starts_with("engine-new")).count();
+    if starts < MAX_STARTS {
+        let id = format!("engine-new-{starts}");
+        fleet.servers.push(StandinServer::start(&id, "engines", "east", &["a", "b"]).await);
+        fleet.server(&id).set_version("v2");
+        fleet.write_heartbeats();
+    }
+}
+
 /// Sets whether the engines state slowdowns, so that long prompts are scheduled.
 fn set_uneven(fleet: &PlatformFleet, is_uneven: bool) {
     let engines = fleet.servers.iter().filter(|server| server.service == "engines");
@@ -312,7 +332,18 @@
         let is_late = sent.elapsed() > Duration::from_millis(TIMEOUT_MS) + ANSWER_SLACK;
         let sent_ms = u64::try_from((sent - started).as_millis()).unwrap();
         let was_suspended = suspended_at_ms.load(Ordering::SeqCst) + TIMEOUT_MS >= sent_ms;
+        let (mut events, mut take_ups) = (String::new(), 0);
         let (status, body) = match answer {
+            Ok(answer) if kind == "stream" && answer.status == 200 => {
+                let is_complete;
+                (events, is_complete) = read_events(answer).await;
+                let resumed = match is_complete {
+                    true => Some(0),
+                    false => take_up(&callers, &mut random, (&attempt, model), &mut events).await,
+                };
+                take_ups = resumed.unwrap_or(0);
+                (Some(200), resumed.map(|_| events.clone()))
+            }
             Ok(answer) => (Some(answer.status.as_u16()), read_text(answer).await),
             Err(_) => (None, None),
         };
@@ -323,6 +354,8 @@
             kind,
             status,
             body,
+            events,
+            take_ups,
             is_late: is_late && kind != "stream",
             was_suspended,
         });
@@ -331,6 +364,35 @@
     observations
 }
 
+/// Takes a broken stream up at random daemons and appends its further events. Returns how often it was
+/// taken up if it is complete then.
+async fn take_up(
+    callers: &[std::net::SocketAddr],
+    random: &mut SmallRng,
+    (first_attempt, model): (&str, &str),
+    events: &mut String,
+) -> Option<usize> {
+    for number in 1..=MAX_TAKE_UPS {
+        let last = last_event_id(events)?.to_owned();
+        let caller = callers[random.random_range(0..callers.len())];
+        let call = model_request(caller, &format!("{first_attempt}-up{number}"), model)
+            .header("last-event-id", last)
+            .header("resumes", first_attempt)
+            .timeout(Duration::from_secs(20));
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..300))).await;
+        let Ok(answer) = call.send().await else { continue };
+        if answer.status != 200 {
+            continue;
+        }
+        let (more, is_complete) = read_events(answer).await;
+        events.push_str(&more);
+        if is_complete {
+            return Some(number);
+        }
+    }
+    None
+}
+
 /// Checks that each daemon serves requests of each kind again after the last fault.
 async fn check_recovery(fleet: &PlatformFleet) {
     let deadline = Instant::now() + RECOVERY;
@@ -375,6 +437,8 @@
         if request.status == Some(200) {
             check_body(request, seed);
         }
+        let has_two = has_two_versions(&request.events);
+        assert!(!has_two, "seed {seed}: {request:?} has events of two versions");
         assert!(
             !request.is_late || request.was_suspended,
             "seed {seed}: {request:?} was answered late"
@@ -411,6 +475,8 @@
         scheduled += log.iter().filter(|line| line["event"] == "prefill_asked").count();
     }
     println!("seed {seed}: {scheduled} prompts were scheduled");
+    let take_ups: usize = observations.iter().map(|request| request.take_ups).sum();
+    println!("seed {seed}: {take_ups} streams were taken up and completed");
     println!("seed {seed}: {counts:?}");
 }
 
--- a/crates/origin/src/keeper.rs
+++ b/crates/origin/src/keeper.rs
@@ -56,7 +56,7 @@
         view: ServiceView<'_>,
     ) -> Option<VersionMix> {
         let history = self.services.entry(service.clone(), ServiceHistory::default);
-        // Targets that are all gone tell nothing about the next ones.
+        // The next targets may have any version.
         let first = view.listed.first()?;
         let is_sole = first.is_some() && view.listed.iter().all(|version| version == first);
         match first.filter(|_| is_sole) {
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -7,7 +7,7 @@
 //! - A [`VersionMix`] for each service says at which versions its streams can have begun. While that is
 //!   only one, no stream needs a record.
 //! - Otherwise each stream is recorded in the store when it begins. An [`OriginBook`] has the streams of
-//!   one daemon and tells which of them have no record yet.
+//!   one daemon and returns those that have no record yet.
 //! - The leader changes the mix of a service as its targets change; a [`MixKeeper`] decides when.
 //!
 //! The crate performs no I/O and reads no clock.
--- a/crates/origin/src/mix.rs
+++ b/crates/origin/src/mix.rs
@@ -19,7 +19,7 @@
     Only(SoftwareVersion),
     /// All began at this version, but others will follow: each stream is recorded from now on.
     Opening(SoftwareVersion),
-    /// They began at any version, and only records tell at which.
+    /// They began at any version; only their records show which.
     Any,
 }
 
