Pause between two checks of the configuration

Cause: by reading: a check that meets another change of the configuration confirms nothing, so that the next one is due at once; while the value can't be resolved (a deleted key) the daemon would call the store in a tight loop.

Change: a sixteenth of limits.apply between two checks, a quarter after a failed one as before. failed_checks covers both.

--- a/crates/lead/src/layout.rs
+++ b/crates/lead/src/layout.rs
@@ -10,8 +10,9 @@
 const SILENCE_DIVISOR: u32 = 4;
 /// A check waits for changes for at most the bound divided by this. Then it reads the whole layout.
 const TIMEOUT_DIVISOR: u32 = 8;
-/// Pause after a failed check, as a divisor of the bound.
-const RETRY_DIVISOR: u32 = 4;
+/// Pauses after a check that has failed, and after another one, as divisors of the bound.
+const FAILURE_DIVISOR: u32 = 4;
+const PAUSE_DIVISOR: u32 = 16;
 
 /// How recently a daemon's layout was known to be the latest one in the store, and when the daemon
 /// should ask the store itself.
@@ -44,7 +45,7 @@
     confirmed_at: Option<Time>,
     /// Whether the leader has left a report unanswered since the last confirmation.
     is_leader_silent: bool,
-    /// When a check may be repeated after one has failed.
+    /// When the next check may begin.
     retry_at: Time,
 }
 
@@ -67,9 +68,11 @@
         self.is_leader_silent = true;
     }
 
-    /// Records that a check has failed.
-    pub fn fail_check(&mut self, now: Time) {
-        self.retry_at = now + self.bound / RETRY_DIVISOR;
+    /// Records that a check has ended. The next one follows after a pause, also if the layout changed
+    /// again during the check, so that the check didn't confirm it.
+    pub fn end_check(&mut self, now: Time, has_failed: bool) {
+        let divisor = if has_failed { FAILURE_DIVISOR } else { PAUSE_DIVISOR };
+        self.retry_at = now + self.bound / divisor;
     }
 
     /// Returns the time since when a newer layout may exist; `None` before the first one is known.
--- a/crates/lead/tests/layout_checks.rs
+++ b/crates/lead/tests/layout_checks.rs
@@ -154,10 +154,19 @@
     for ms in 1_000..7_000 {
         if freshness.next_check().is_some_and(|due| at(ms) >= due) {
             calls += 1;
-            freshness.fail_check(at(ms));
+            freshness.end_check(at(ms), true);
         }
     }
     assert!((5..=8).contains(&calls), "{calls}");
+    // Guards against checks in a tight loop while each of them meets another change.
+    calls = 0;
+    for ms in 8_000..11_000 {
+        if freshness.next_check().is_some_and(|due| at(ms) >= due) {
+            calls += 1;
+            freshness.end_check(at(ms), false);
+        }
+    }
+    assert!(calls <= 17, "{calls}");
     freshness.confirm(at(500));
     assert_eq!(freshness.age(at(7_000)), Some(Duration::from_secs(6)), "an older confirmation");
 }
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -117,14 +117,12 @@
         let line = LogLine::new("layout_checked")
             .with("age_ms", age.as_millis() as u64)
             .with("took_ms", now.since(asked_at).as_millis() as u64);
+        let mut freshness = host.layout_freshness.get();
+        freshness.end_check(now, result.is_err());
+        host.layout_freshness.set(freshness);
         match result {
             Ok(is_new) => line.with("is_new", is_new).info(),
-            Err(error) => {
-                let mut freshness = host.layout_freshness.get();
-                freshness.fail_check(now);
-                host.layout_freshness.set(freshness);
-                line.text("error", &error).info();
-            }
+            Err(error) => line.text("error", &error).info(),
         }
     }
 }
