--- a/crates/origin/src/mix.rs
+++ b/crates/origin/src/mix.rs
@@ -113,9 +113,9 @@
         }
     }
 
-    /// Removes all mixes, before those of a snapshot are set.
-    pub fn clear(&mut self) {
-        self.mixes = SortedMap::default();
+    /// Removes the mixes of services that a snapshot of the store lacks.
+    pub fn retain(&mut self, is_stored: impl Fn(&Name) -> bool) {
+        self.mixes.retain(|service, _| is_stored(service));
     }
 
     /// Returns the mix of a service, if it is known.
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -159,10 +159,7 @@
         if is_restored {
             host.origin_book.borrow_mut().forget_records();
         }
-        host.dispatcher.borrow_mut().targets_mut().mixes_mut().clear();
-        for item in with_prefix(MIX_PREFIX) {
-            origins::apply_mix(&host, &item.key, Some(item), item.revision);
-        }
+        origins::apply_mixes(&host, with_prefix(MIX_PREFIX));
         let records = with_prefix(EVIDENCE_PREFIX);
         evidence::apply_records(&host, records.map(|item| (item.key.as_str(), &item.value[..])));
         let leader = with_prefix(DAEMON_PREFIX).find(|item| item.key == LEADER_KEY);
--- a/crates/serve/src/origins.rs
+++ b/crates/serve/src/origins.rs
@@ -33,7 +33,7 @@
 /// Longest time to live of a lease.
 const MAX_LEASE: Duration = Duration::from_secs(600);
 /// Pause after a transaction that has failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Oldest list of targets by which the leader decides about the versions.
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
 /// Interval at which the leader decides about the versions.
@@ -225,6 +225,18 @@
     }
 }
 
+/// Applies the mixes of a snapshot of the store.
+pub(crate) fn apply_mixes<'a>(host: &Host, items: impl Iterator<Item = &'a KeyValue>) {
+    let items: Vec<&KeyValue> = items.collect();
+    let is_stored = |service: &Name| {
+        items.iter().any(|item| item.key.strip_prefix(MIX_PREFIX) == Some(service.as_str()))
+    };
+    host.dispatcher.borrow_mut().targets_mut().mixes_mut().retain(is_stored);
+    for item in items {
+        apply_mix(host, &item.key, Some(item), item.revision);
+    }
+}
+
 /// Applies the versions at which the streams of a service can have begun; `None` is a deleted value.
 pub(crate) fn apply_mix(host: &Host, key: &str, item: Option<&KeyValue>, revision: Revision) {
     let Some(Ok(service)) = key.strip_prefix(MIX_PREFIX).map(str::parse::<Name>) else {
