Wait for the announcement of one version before tests replace a server

In the logs of both, the leader's term began within 9 ms of the removal of the replaced server, so that its first decision already saw two versions. It then has nothing to announce: a service without a statement counts as mixed from the start, streams are recorded and begin at each version. The test waited for a line that isn't due, and no daemon did anything wrong.

`mix_versions` now waits until one version is stated before it replaces the server, so that the announced change is played each time. What the race showed by chance is a test of its own: `mixed_start` begins with servers of two versions and makes the same checks. `broken_stream` breaks streams off both while the change is announced and after it.

--- a/crates/mangodeal/tests/mixed_versions.rs
+++ b/crates/mangodeal/tests/mixed_versions.rs
@@ -10,8 +10,10 @@
 use platform_fleet::platform_standin::ServerMode;
 use platform_fleet::{has_two_versions, model_request, read_events, FrontProcess, PlatformFleet};
 
-/// Replaces `engine-2` by a server of another version and waits until all daemons list it.
+/// Replaces `engine-2` by a server of another version and waits until all daemons list it. Before that
+/// the leader has stated that there is one version only: otherwise it has nothing to announce.
 async fn mix_versions(fleet: &mut PlatformFleet) {
+    wait_mix(fleet, "only v1").await;
     fleet.store.delete("servers/engine-2");
     wait_logged(fleet, "target_gone").await;
     fleet.server("engine-2").set_version("v2");
@@ -39,20 +41,24 @@
         for server in &fleet.servers {
             server.set_mode(ServerMode::BrokenStreams);
         }
-        for number in 0..12 {
-            let call = model_request(fleet.fronts[0].caller, &format!("s-{number}"), "a");
-            let (text, _) = read_events(call.send().await.unwrap()).await;
-            assert!(!has_two_versions(&text), "{text}");
+        for mix in ["opening v1", "any"] {
+            wait_mix(&fleet, mix).await;
+            for number in 0..12 {
+                let attempt = format!("{mix}-{number}");
+                let call = model_request(fleet.fronts[0].caller, &attempt, "a");
+                let (text, _) = read_events(call.send().await.unwrap()).await;
+                assert!(!has_two_versions(&text), "{attempt}: {text}");
+            }
         }
     });
 }
 
-/// Waits until streams may begin at any version at all daemons.
-async fn wait_open(fleet: &PlatformFleet) {
-    eventually(Duration::from_secs(10), "streams may begin at each version", || async {
-        let is_open =
-            |line: &serde_json::Value| line["event"] == "versions_changed" && line["mix"] == "any";
-        fleet.fronts.iter().all(|front| front.log().iter().any(is_open))
+/// Waits until all daemons have logged these versions at which streams can have begun.
+async fn wait_mix(fleet: &PlatformFleet, mix: &str) {
+    eventually(Duration::from_secs(10), mix, || async {
+        let is_stated =
+            |line: &serde_json::Value| line["event"] == "versions_changed" && line["mix"] == mix;
+        fleet.fronts.iter().all(|front| front.log().iter().any(is_stated))
     })
     .await;
 }
@@ -93,6 +99,29 @@
     }
 }
 
+/// Takes streams of both versions up at each daemon, also after all daemons were killed at once. None
+/// goes on at another version, and each ends complete.
+async fn check_take_ups(fleet: &mut PlatformFleet) {
+    for is_killed in [false, true] {
+        for first in ["engine-1", "engine-2"] {
+            let attempt = format!("s-{first}-{is_killed}");
+            let begun = begin_stream(fleet, &attempt, first).await;
+            if is_killed {
+                restart_all(fleet).await;
+            }
+            for front in &fleet.fronts {
+                let second = format!("{attempt}-{}", front.name);
+                let answer = take_up(front, &second, Some(&attempt)).await;
+                assert_eq!(answer.status, 200, "{second}");
+                let (rest, is_complete) = read_events(answer).await;
+                let text = begun.clone() + &rest;
+                assert!(!has_two_versions(&text), "{second}: {text}");
+                assert!(is_complete && rest.contains("part 6"), "{second}: {rest}");
+            }
+        }
+    }
+}
+
 /// Guards against a stream that its client takes up and that goes on at another software version, at
 /// each daemon, also after all daemons were killed at once.
 #[test]
@@ -100,25 +129,23 @@
     run(async {
         let mut fleet = PlatformFleet::start_with(2, &["a", "b"]).await;
         mix_versions(&mut fleet).await;
-        wait_open(&fleet).await;
-        for is_killed in [false, true] {
-            for first in ["engine-1", "engine-2"] {
-                let attempt = format!("s-{first}-{is_killed}");
-                let begun = begin_stream(&fleet, &attempt, first).await;
-                if is_killed {
-                    restart_all(&mut fleet).await;
-                }
-                for front in &fleet.fronts {
-                    let second = format!("{attempt}-{}", front.name);
-                    let answer = take_up(front, &second, Some(&attempt)).await;
-                    assert_eq!(answer.status, 200, "{second}");
-                    let (rest, is_complete) = read_events(answer).await;
-                    let text = begun.clone() + &rest;
-                    assert!(!has_two_versions(&text), "{second}: {text}");
-                    assert!(is_complete && rest.contains("part 6"), "{second}: {rest}");
-                }
-            }
-        }
+        wait_mix(&fleet, "any").await;
+        check_take_ups(&mut fleet).await;
+    });
+}
+
+/// Guards against joined streams of a fleet that found servers of two versions when it started, so that
+/// no change of the versions was ever announced.
+#[test]
+fn mixed_start() {
+    run(async {
+        let mut fleet = PlatformFleet::start_with(0, &["a", "b"]).await;
+        fleet.server("engine-2").set_version("v2");
+        fleet.write_heartbeats();
+        fleet.add_fronts(2).await;
+        check_take_ups(&mut fleet).await;
+        let is_announced = |line: &serde_json::Value| line["event"] == "versions_changed";
+        assert!(!fleet.fronts.iter().any(|front| front.log().iter().any(is_announced)));
     });
 }
 
@@ -129,7 +156,7 @@
     run(async {
         let mut fleet = PlatformFleet::start_with(2, &["a", "b"]).await;
         mix_versions(&mut fleet).await;
-        wait_open(&fleet).await;
+        wait_mix(&fleet, "any").await;
         begin_stream(&fleet, "s-gone", "engine-2").await;
         fleet.store.delete("servers/engine-2");
         eventually(Duration::from_secs(10), "the server is gone", || async {
@@ -168,11 +195,7 @@
 fn single_version() {
     run(async {
         let mut fleet = PlatformFleet::start_with(2, &["a", "b"]).await;
-        eventually(Duration::from_secs(10), "there is one version only", || async {
-            let is_sole = |line: &serde_json::Value| line["event"] == "versions_changed";
-            fleet.fronts.iter().all(|front| front.log().iter().any(is_sole))
-        })
-        .await;
+        wait_mix(&fleet, "only v1").await;
         begin_stream(&fleet, "s-1", "engine-1").await;
         restart_all(&mut fleet).await;
         for front in &fleet.fronts {
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -93,13 +93,23 @@
         fleet.server("engine-2").set_copies(copies);
         fleet.store.put("op/config", &config(3, models));
         fleet.write_heartbeats();
-        for number in 0..daemons {
-            fleet.add_front(number, change_settings).await;
+        fleet.add_changed_fronts(daemons, change_settings).await;
+        fleet
+    }
+
+    /// Adds daemons and waits until they are ready.
+    pub async fn add_fronts(&mut self, daemons: usize) {
+        self.add_changed_fronts(daemons, |text| text).await;
+    }
+
+    async fn add_changed_fronts(&mut self, daemons: usize, change_settings: fn(String) -> String) {
+        let numbers = self.fronts.len()..self.fronts.len() + daemons;
+        for number in numbers.clone() {
+            self.add_front(number, change_settings).await;
         }
-        for number in 0..daemons {
-            fleet.wait_ready(number).await;
+        for number in numbers {
+            self.wait_ready(number).await;
         }
-        fleet
     }
 
     /// Writes the entries of all servers with the next heartbeat number.
