Ask other daemons for the configuration when neither store nor leader has it

Callers of daemons that the store refuses, and whose leader it refuses too, met a configuration that was up to 5.7 s old where 3 s are allowed: withdrawn keys worked, added routes were answered 404.

Cause: a daemon had two sources of a configuration, the store and the leader, and one reason can take both away. While the leader's lease runs nobody else leads, and a refused daemon can't learn of the next leader, whose address is in the store. All other daemons have the configuration.

Change: daemons know each other's addresses from their registrations (`PeerBook`). A check that the store doesn't answer asks four of them, spread over the failure domains, again after each quarter of the bound. After a failed check the next one no longer waits for changes first.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -197,7 +197,8 @@
     pub wait_ms: Option<u64>,
 }
 
-/// A request to the leader for the layout, from a daemon that can't read it from the store.
+/// A request to the leader or to another daemon for the layout, from one that can't read it from the
+/// store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LayoutRequest {
     /// Revision of the oldest layout that is of use.
--- a/crates/lead/src/layout.rs
+++ b/crates/lead/src/layout.rs
@@ -8,8 +8,11 @@
 const CHECK_DIVISOR: u32 = 2;
 /// The same divisor while the leader doesn't answer, so that nothing else will confirm the layout.
 const SILENCE_DIVISOR: u32 = 4;
-/// A check waits for changes for at most the bound divided by this. Then it reads the whole layout.
+/// A check waits for changes for at most the bound divided by this. Then it reads the whole layout, and
+/// after the same time without an answer it asks other daemons.
 const TIMEOUT_DIVISOR: u32 = 8;
+/// Other daemons are asked for at most the bound divided by this.
+const PEER_DIVISOR: u32 = 6;
 /// Pauses after a check that has failed, and after another one, as divisors of the bound.
 const FAILURE_DIVISOR: u32 = 4;
 const PAUSE_DIVISOR: u32 = 16;
@@ -45,6 +48,8 @@
     confirmed_at: Option<Time>,
     /// Whether the leader has left a report unanswered since the last confirmation.
     is_leader_silent: bool,
+    /// Whether the last check has failed.
+    has_failed: bool,
     /// When the next check may begin.
     retry_at: Time,
 }
@@ -52,14 +57,20 @@
 impl LayoutFreshness {
     /// Creates the state of a daemon on which a layout must be in force within `bound`.
     pub fn new(bound: Duration) -> LayoutFreshness {
-        LayoutFreshness { bound, confirmed_at: None, is_leader_silent: false, retry_at: Time::ZERO }
+        LayoutFreshness {
+            bound,
+            confirmed_at: None,
+            is_leader_silent: false,
+            has_failed: false,
+            retry_at: Time::ZERO,
+        }
     }
 
     /// Records that the layout in force was the latest one in the store at this time or later.
     pub fn confirm(&mut self, at: Time) {
         if self.confirmed_at.is_none_or(|known| known < at) {
             self.confirmed_at = Some(at);
-            self.is_leader_silent = false;
+            (self.is_leader_silent, self.has_failed) = (false, false);
         }
     }
 
@@ -73,6 +84,13 @@
     pub fn end_check(&mut self, now: Time, has_failed: bool) {
         let divisor = if has_failed { FAILURE_DIVISOR } else { PAUSE_DIVISOR };
         self.retry_at = now + self.bound / divisor;
+        self.has_failed = has_failed;
+    }
+
+    /// Returns whether the last check has failed, so that the next one should begin with what has the best
+    /// prospects.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
     }
 
     /// Returns the time since when a newer layout may exist; `None` before the first one is known.
@@ -91,4 +109,14 @@
     pub fn change_timeout(&self) -> Duration {
         self.bound / TIMEOUT_DIVISOR
     }
+
+    /// Returns how long other daemons are asked for a newer layout when the store doesn't answer.
+    pub fn peer_timeout(&self) -> Duration {
+        self.bound / PEER_DIVISOR
+    }
+
+    /// Returns the pause before other daemons are asked again in the same check.
+    pub fn peer_pause(&self) -> Duration {
+        self.bound / FAILURE_DIVISOR
+    }
 }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -37,6 +37,7 @@
 mod demand;
 mod layout;
 mod leader;
+mod peers;
 mod pool;
 mod relay;
 mod requests;
@@ -54,6 +55,7 @@
 pub use leader::{
     AdapterState, Leader, LeaderAction, LeaderEvent, LoadBacklog, LoadDecision, LoadResult,
 };
+pub use peers::PeerBook;
 pub use pool::{SeatRoster, SeatTable, TokenPool};
 pub use relay::{ChangeLog, ListValidity, ReadPlan, RelayView, StoreRead};
 pub use target::TargetRecord;
--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -147,6 +147,35 @@
     });
 }
 
+/// Guards against a daemon that keeps an old configuration because neither it nor the leader reaches the
+/// store, while other daemons have the new one.
+#[test]
+fn layout_at_peers() {
+    run(async {
+        let bound = Duration::from_millis(3_000);
+        let change = |text: String| text.replace("grace = 5s\n", "grace = 5s\ndrain = 3s\n");
+        let fleet = start_fleet_with(4, change).await;
+        let leads = |front: &&FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
+        let leader = fleet.fronts.iter().find(leads).unwrap();
+        let follower = fleet.fronts.iter().find(|front| !leads(front)).unwrap();
+        for front in [leader, follower] {
+            front.store.set_frozen(true);
+        }
+        for version in 10..10 + CHANGES {
+            fleet.store.put("op/config", &large_config(version));
+            let written_at = Instant::now();
+            for front in &fleet.fronts {
+                while version_of(front).await != Some(version) {
+                    let elapsed = written_at.elapsed();
+                    assert!(elapsed < bound, "{} is late with {version}", front.name);
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                eprintln!("{}: {version} after {:?}", front.name, written_at.elapsed());
+            }
+        }
+    });
+}
+
 /// Guards against another key that begins like the configuration's and is read as the configuration
 /// when a daemon reads the whole store.
 #[test]
--- a/crates/serve/src/election.rs
+++ b/crates/serve/src/election.rs
@@ -7,7 +7,7 @@
 use base::{Revision, StoreEra};
 use daemon::{boot_time, wall_ms};
 use lead::{Leader, LeaderConfig, LeaderTerm};
-use node::{LeaseId, StoreTxn};
+use node::{KeyValue, LeaseId, StoreTxn};
 use platform::store::{RenewalReply, TxnReply};
 use serde::{Deserialize, Serialize};
 
@@ -344,6 +344,13 @@
     }
 }
 
+/// Parses a registration: the host, and the address at which its daemon answers peers. Returns `None`
+/// for other keys and for a value that can't be read.
+pub(crate) fn parse_peer(item: &KeyValue) -> Option<(base::Name, SocketAddr)> {
+    let host = item.key.strip_prefix(REGISTRATION_PREFIX)?.parse().ok()?;
+    Some((host, std::str::from_utf8(&item.value).ok()?.parse().ok()?))
+}
+
 /// Parses the host out of the key of a registration.
 pub(crate) fn parse_registration(key: &str) -> Option<base::Name> {
     let name = key.strip_prefix(REGISTRATION_PREFIX)?;
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -155,6 +155,8 @@
         let hosts =
             with_prefix(DAEMON_PREFIX).filter_map(|item| election::parse_registration(&item.key));
         host.registered_hosts.borrow_mut().replace_seats(now, hosts);
+        let peers = with_prefix(DAEMON_PREFIX).filter_map(election::parse_peer);
+        host.peer_book.borrow_mut().replace(peers);
         election::update_registered_hosts(&host);
         if is_restored {
             host.origin_book.borrow_mut().forget_records();
@@ -564,8 +566,14 @@
         }
         let Some(registered_host) = election::parse_registration(key) else { return false };
         match event {
-            KeyEvent::Put(_) => self.host.registered_hosts.borrow_mut().add_seat(registered_host),
+            KeyEvent::Put(item) => {
+                if let Some((name, address)) = election::parse_peer(&item) {
+                    self.host.peer_book.borrow_mut().insert(name, address);
+                }
+                self.host.registered_hosts.borrow_mut().add_seat(registered_host);
+            }
             KeyEvent::Deleted(..) => {
+                self.host.peer_book.borrow_mut().remove(&registered_host);
                 self.host.registered_hosts.borrow_mut().unlisted(boot_time(), registered_host)
             }
         }
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -9,7 +9,9 @@
 use daemon::boot_time;
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
-use lead::{LayoutFreshness, ListValidity, RelayView, SeatRoster, UnreadValues, ValueClass};
+use lead::{
+    LayoutFreshness, ListValidity, PeerBook, RelayView, SeatRoster, UnreadValues, ValueClass,
+};
 use node::{KeyValue, LeaseId};
 use origin::OriginBook;
 use tokio::sync::Notify;
@@ -84,6 +86,8 @@
     /// Hosts whose daemons are registered in the store. A host that is cut off from the store loses
     /// its registration and continues to serve.
     pub(crate) registered_hosts: RefCell<SeatRoster>,
+    /// Addresses of the registered daemons, this one included.
+    pub(crate) peer_book: RefCell<PeerBook>,
     /// `Some` while this daemon leads.
     pub(crate) leader_state: RefCell<Option<LeaderState>>,
     /// Lease of the term in which this daemon leads.
@@ -163,6 +167,7 @@
             dropped_lines,
             leader_entry: RefCell::default(),
             registered_hosts: RefCell::default(),
+            peer_book: RefCell::default(),
             leader_state: RefCell::default(),
             term_lease: Cell::new(None),
             known_revision: Cell::new(Revision(0)),
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -7,6 +7,7 @@
 use base::{Revision, Time};
 use daemon::boot_time;
 use fleet::ColdSetting;
+use futures::stream::{FuturesUnordered, StreamExt};
 use lead::ValueClass;
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, LAYOUT_KEY};
@@ -17,8 +18,12 @@
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::orders;
+use crate::peer;
 use crate::store::StoreError;
 
+/// Number of daemons that are asked for a newer layout if the store doesn't answer a check.
+const PEERS_PER_CHECK: usize = 4;
+
 /// How a daemon got a layout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LayoutSource {
@@ -30,6 +35,8 @@
     Read,
     /// From the leader, because the store didn't return the value.
     Leader,
+    /// From another daemon, because the store didn't answer a check.
+    Peer,
 }
 
 impl LayoutSource {
@@ -40,6 +47,7 @@
             LayoutSource::Change => "change",
             LayoutSource::Read => "store",
             LayoutSource::Leader => "leader",
+            LayoutSource::Peer => "peer",
         }
     }
 }
@@ -130,9 +138,10 @@
 /// Asks the store whether there is a newer layout and applies it. Returns whether there was one.
 async fn check_layout(host: &Host) -> Result<bool, StoreError> {
     let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
-    if !is_unread {
+    let freshness = host.layout_freshness.get();
+    let limit = freshness.change_timeout();
+    if !is_unread && !freshness.has_failed() {
         let asked_at = boot_time();
-        let limit = host.layout_freshness.get().change_timeout();
         let watch = host.store.watch(LAYOUT_KEY, host.known_revision.get(), NO_WAIT);
         // Any failure, also a history that is gone, leaves the value itself to be read.
         if let Ok(Ok(WatchReply::Changes(events, _))) = tokio::time::timeout(limit, watch).await {
@@ -140,22 +149,54 @@
                 KeyEvent::Put(item) if item.key == LAYOUT_KEY => Some(item),
                 KeyEvent::Put(_) | KeyEvent::Deleted(..) => None,
             });
-            let is_new = latest.is_some_and(|item| apply_checked(host, &item));
+            let is_new = latest.is_some_and(|item| apply_checked(host, &item, LayoutSource::Read));
             confirm_layout(host, asked_at);
             return Ok(is_new);
         }
     }
     let asked_at = boot_time();
-    let item = host.store.read_key(LAYOUT_KEY).await?;
-    let is_new = item.is_some_and(|item| apply_checked(host, &item));
+    let mut read = std::pin::pin!(host.store.read_key(LAYOUT_KEY));
+    let mut ask_at = if freshness.has_failed() { asked_at } else { asked_at + limit };
+    let mut has_asked = false;
+    let item = loop {
+        let ask = async {
+            sleep_until(ask_at).await;
+            ask_peers(host).await;
+        };
+        tokio::select! {
+            item = &mut read => break item,
+            () = ask => has_asked = true,
+        }
+        ask_at = boot_time() + freshness.peer_pause();
+    };
+    if item.is_err() && !has_asked {
+        ask_peers(host).await;
+    }
+    let is_new = item?.is_some_and(|item| apply_checked(host, &item, LayoutSource::Read));
     confirm_layout(host, asked_at);
     Ok(is_new)
 }
 
-/// Applies the latest layout of the store. Returns whether it is new.
-fn apply_checked(host: &Host, item: &KeyValue) -> bool {
+/// Asks other daemons for a newer layout. None of their answers confirms that there is no later one.
+async fn ask_peers(host: &Host) {
+    let known = host.layout_item.borrow().as_ref().map(|item| item.revision);
+    let Some(revision) = known.map(|known| Revision(known.0 + 1)) else { return };
+    let own = &host.settings.host;
+    let peers = host.peer_book.borrow().draw(own, rand::random(), PEERS_PER_CHECK);
+    let asked: FuturesUnordered<_> =
+        peers.into_iter().map(|address| peer::fetch_layout_from(host, address, revision)).collect();
+    let newer = std::pin::pin!(asked.filter_map(|value| async { value }));
+    let limit = host.layout_freshness.get().peer_timeout();
+    if let Ok((Some(value), _)) = tokio::time::timeout(limit, newer.into_future()).await {
+        let key = LAYOUT_KEY.to_owned();
+        apply_checked(host, &KeyValue { key, value, revision }, LayoutSource::Peer);
+    }
+}
+
+/// Applies a layout that a check has found. Returns whether it is new.
+fn apply_checked(host: &Host, item: &KeyValue, source: LayoutSource) -> bool {
     host.unread_values.borrow_mut().resolve(LAYOUT_KEY, item.revision);
-    let is_new = apply_layout(host, item, LayoutSource::Read);
+    let is_new = apply_layout(host, item, source);
     if is_new {
         orders::update_leader_targets(host);
         host.state_changed.notify_waiters();
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -255,6 +255,15 @@
 /// Asks the leader for a layout of at least this revision.
 pub(crate) async fn fetch_layout(host: &Host, revision: Revision) -> Option<Vec<u8>> {
     let address = host.leader_entry.borrow().as_ref().map(|entry| entry.address)?;
+    fetch_layout_from(host, address, revision).await
+}
+
+/// Asks a daemon for a layout of at least this revision.
+pub(crate) async fn fetch_layout_from(
+    host: &Host,
+    address: SocketAddr,
+    revision: Revision,
+) -> Option<Vec<u8>> {
     let message = LayoutRequest { revision };
     let body = post_to_peer(host, address, LAYOUT_PATH, &message, LAYOUT_TIMEOUT).await?;
     Some(body.to_vec())
