--- a/crates/mangodeal/tests/platform_path.rs
+++ b/crates/mangodeal/tests/platform_path.rs
@@ -55,8 +55,16 @@
             .header("host", "desk.example")
             .header("authorization", "Token unknown");
         assert_eq!(call.send().await.unwrap().status, 401);
-        let log = fleet.fronts[0].log();
-        let refused: Vec<_> = log.iter().filter(|line| line["event"] == "refused").collect();
+        let refusals = || {
+            let log = fleet.fronts[0].log();
+            log.into_iter().filter(|line| line["event"] == "refused").collect::<Vec<_>>()
+        };
+        // Lines are written after the answer, so that the log never delays one.
+        eventually(Duration::from_secs(2), "the refusals are logged", || async {
+            refusals().len() >= 2
+        })
+        .await;
+        let refused = refusals();
         assert_eq!(refused.len(), 2);
         assert!(refused.iter().all(|line| line["layout"] == 3 && line["code"].is_u64()));
     });
