Load a model at the software version of the streams that wait for it

Clients that took a stream up were refused (1309, to be requested anew) when only targets of other versions held its model, and the leader never loaded it at theirs.

Cause: the demand that daemons report, the leader's loads and its estimates knew models only; what waits for a model at one version was either not reported or looked served.

Change: demand and estimates have the version that the waiting streams need (`ModelNeed`). The leader plans a load on a target of that version if none holds or loads the model, counts a request that continues a stream as six new ones, and begins no second load for other requests that wait for the same model. A request whose load can't be in time is refused with the time of its end.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -41,7 +41,8 @@
 pub use share::{leaderless_rate, SpendRate, EVEN_SHARE_DELAY};
 pub use sync::{
     AdapterReply, AdapterRequest, AllowanceRequest, LayoutRequest, LoadEstimate, ModelDemand,
-    PermitReply, PermitRequest, SyncReply, SyncReport, TargetOccupancy, TeamDraw, TeamGrant,
+    ModelNeed, PermitReply, PermitRequest, SyncReply, SyncReport, TargetOccupancy, TeamDraw,
+    TeamGrant,
 };
 pub use target::{
     HeldModel, ModelRef, PromptPart, SoftwareVersion, TargetDeparture, TargetEntry, TargetLoad,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -6,13 +6,39 @@
 use limit::{ColdStatement, LimitStatement, PermitDenial, PermitUse};
 use serde::{Deserialize, Serialize};
 
-use crate::{ChangeBatch, ModelRef, TargetDeparture, TargetSlowdown};
+use crate::{ChangeBatch, ModelRef, SoftwareVersion, TargetDeparture, TargetSlowdown};
+
+/// A model that requests wait for, and the software version of the targets that may serve them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ModelNeed {
+    /// Model that requests wait for.
+    pub model: ModelName,
+    /// Version at which the streams began that the requests continue; `None` if they continue none.
+    pub version: Option<SoftwareVersion>,
+}
+
+impl ModelNeed {
+    /// Returns whether a target of this version may serve the requests; `None` is a version that can't
+    /// be read.
+    pub fn is_met_by(&self, version: Option<&SoftwareVersion>) -> bool {
+        self.version.as_ref().is_none_or(|needed| version == Some(needed))
+    }
+}
+
+impl From<ModelName> for ModelNeed {
+    fn from(model: ModelName) -> ModelNeed {
+        ModelNeed { model, version: None }
+    }
+}
 
 /// The demand for one model at a daemon since the daemon's last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelDemand {
     /// Requested model.
     pub model: ModelName,
+    /// Version at which the streams began that the waiting requests continue, if they continue any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that arrived.
     pub arrivals: u32,
     /// Prompt tokens of these requests.
@@ -25,6 +51,13 @@
     pub priority: u8,
 }
 
+impl ModelDemand {
+    /// Returns what the waiting requests need.
+    pub fn need(&self) -> ModelNeed {
+        ModelNeed { model: self.model.clone(), version: self.version.clone() }
+    }
+}
+
 /// The cost of one request that waits for its team's allowance.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AllowanceRequest {
@@ -141,11 +174,21 @@
 pub struct LoadEstimate {
     /// Model that requests wait for.
     pub model: ModelName,
+    /// Version at which the streams began that these requests continue, if they continue any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
     /// Time until a target holds the model, in milliseconds; `None` if the leader doesn't know the
     /// model.
     pub ready_ms: Option<u64>,
 }
 
+impl LoadEstimate {
+    /// Returns what the requests need for which the estimate is.
+    pub fn need(&self) -> ModelNeed {
+        ModelNeed { model: self.model.clone(), version: self.version.clone() }
+    }
+}
+
 /// The leader's answer to a [`SyncReport`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SyncReply {
--- a/crates/front/src/dispatcher/schedule.rs
+++ b/crates/front/src/dispatcher/schedule.rs
@@ -87,7 +87,9 @@
         }
         let objective = request.route.objective.unwrap_or(request.route.timeout);
         request.stage = RequestStage::AwaitingPrefill;
-        self.demand_table.remove_waiting(&subject.model, id);
+        if let Some(need) = request.model_need() {
+            self.demand_table.remove_waiting(&need, id);
+        }
         Some(Step::Reserve(Box::new(PrefillRequest {
             candidates,
             max_pause_ms: to_millis(max_pause),
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -210,7 +210,9 @@
             return step;
         }
         if let Some((choice, access)) = self.find_choice(now, id, Some(subject)) {
-            self.demand_table.remove_waiting(&subject.model, id);
+            if let Some(need) = self.requests.get(&id).and_then(OpenRequest::model_need) {
+                self.demand_table.remove_waiting(&need, id);
+            }
             if choice.lacks_adapter && !access.needs_permit() {
                 return self.fetch(id, choice.target, subject);
             }
@@ -239,12 +241,15 @@
         if let Some(step) = self.version_step(now, request, subject) {
             return step;
         }
-        if self.demand_table.waiting_since(&subject.model, id).is_none() {
+        let Some(need) = request.model_need() else {
+            return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no model"));
+        };
+        if self.demand_table.waiting_since(&need, id).is_none() {
             self.counts.load_waits += 1;
         }
-        self.demand_table.add_waiting(now, &subject.model, id, request.urgency);
+        self.demand_table.add_waiting(now, &need, id, request.urgency);
         let work = self.chooser.reading_time(&subject.model, request.chain.tokens());
-        match self.demand_table.load_estimate(now, &subject.model) {
+        match self.demand_table.load_estimate(now, &need) {
             Some(Some(ready)) if ready > LOAD_PATIENCE => {
                 let reason = "no load in sight";
                 Step::Refuse(request.to_refusal(ResultCode::NoCapacity, ready, reason))
@@ -259,7 +264,7 @@
                 Step::Refuse(request.to_refusal(ResultCode::NoCapacity, LOAD_RETRY_AFTER, reason))
             }
             None => {
-                let since = self.demand_table.waiting_since(&subject.model, id).unwrap_or(now);
+                let since = self.demand_table.waiting_since(&need, id).unwrap_or(now);
                 let gap = self.leader_wait(now);
                 if now + gap + work > request.first_event_by {
                     let reason = "no leader in time";
@@ -278,9 +283,12 @@
         }
     }
 
-    /// Returns the step for a request whose model only targets of other software versions hold, so that
-    /// the leader loads it nowhere else.
+    /// Returns the step for a new stream whose model only targets hold at whose software versions streams
+    /// can't begin yet, so that the leader loads it nowhere else.
     fn version_step(&self, now: Time, request: &OpenRequest, subject: &ModelRef) -> Option<Step> {
+        if request.versions != VersionScope::Any {
+            return None;
+        }
         let base = ModelRef { model: subject.model.clone(), adapter: None };
         let mut holders = self
             .targets
@@ -291,16 +299,8 @@
         if holders.any(|state| self.targets.fits_version(state, request)) {
             return None;
         }
-        Some(match &request.versions {
-            // Streams may soon begin at the other versions.
-            VersionScope::Any => Step::Wait((now + VERSION_PAUSE).min(request.first_event_by)),
-            VersionScope::Only(_) => {
-                let reason = "no target of the stream's version has the model";
-                let refusal =
-                    request.to_refusal(ResultCode::StreamUnavailable, Duration::ZERO, reason);
-                Step::Refuse(Refusal { retry_after: None, ..refusal })
-            }
-        })
+        // Streams may soon begin at the other versions.
+        Some(Step::Wait((now + VERSION_PAUSE).min(request.first_event_by)))
     }
 
     /// Chooses a target, and how the request may use it. Targets without a limit that aren't cold come
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -5,8 +5,8 @@
 
 use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
 use fleet::{
-    LayoutVersion, ModelRef, PermitRequest, PromptPart, RouteEntry, SoftwareVersion, TargetEntry,
-    TargetLoad,
+    LayoutVersion, ModelNeed, ModelRef, PermitRequest, PromptPart, RouteEntry, SoftwareVersion,
+    TargetEntry, TargetLoad,
 };
 use limit::{PermitDenial, PermitUse};
 use origin::StreamOrigin;
@@ -298,6 +298,16 @@
         self.versions.includes(entry.version.as_ref()) && self.has_attempt_for(&entry.name)
     }
 
+    /// Returns what the request needs that waits for a load; `None` if it names no model.
+    pub(crate) fn model_need(&self) -> Option<ModelNeed> {
+        let model = self.model.as_ref()?.model.clone();
+        let version = match &self.versions {
+            VersionScope::Any => None,
+            VersionScope::Only(version) => version.clone(),
+        };
+        Some(ModelNeed { model, version })
+    }
+
     fn has_attempt_for(&self, target: &TargetName) -> bool {
         if matches!(&self.prefill, PrefillState::Reserved(reserved, _) if reserved != target) {
             return false;
--- a/crates/lead/src/demand.rs
+++ b/crates/lead/src/demand.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{ModelName, Name, SortedMap, Time};
-use fleet::ModelDemand;
+use fleet::{ModelDemand, ModelNeed, SoftwareVersion};
 
 /// Time constant of the exponential averages, in seconds.
 const AVERAGE_SECONDS: f64 = 4.0;
@@ -25,6 +25,20 @@
     priority: u8,
 }
 
+impl WaitReport {
+    fn counts(&self, now: Time) -> bool {
+        now.since(self.reported_at) < WAIT_TTL && self.count > 0
+    }
+}
+
+/// Returns the number of waiting requests, when the oldest began to wait, and the most urgent priority.
+fn sum_waits<'a>(now: Time, waits: impl Iterator<Item = &'a WaitReport>) -> (u32, Time, u8) {
+    let recent = waits.filter(|wait| wait.counts(now));
+    recent.fold((0, now, u8::MAX), |(count, since, priority), wait| {
+        (count + wait.count, since.min(wait.since), priority.min(wait.priority))
+    })
+}
+
 /// Demand for one model.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ModelStats {
@@ -35,6 +49,8 @@
     rising_tokens: f64,
     updated_at: Time,
     waits: SortedMap<Name, WaitReport>,
+    /// Requests that continue streams, by the version at which these began and by daemon.
+    bound_waits: SortedMap<(SoftwareVersion, Name), WaitReport>,
     arrivals: u64,
 }
 
@@ -78,14 +94,24 @@
         self.token_rate(now).max(RISE_SHARE * self.rising_rate(now))
     }
 
-    /// Returns the number of waiting requests, when the oldest began to wait, and the most urgent
-    /// priority.
+    /// Returns the number of waiting requests that any target with the model can serve, when the oldest
+    /// began to wait, and the most urgent priority.
     pub(crate) fn waiting(&self, now: Time) -> (u32, Time, u8) {
-        let recent =
-            self.waits.values().filter(|w| now.since(w.reported_at) < WAIT_TTL && w.count > 0);
-        recent.fold((0, now, u8::MAX), |(count, since, priority), wait| {
-            (count + wait.count, since.min(wait.since), priority.min(wait.priority))
-        })
+        sum_waits(now, self.waits.values())
+    }
+
+    /// Returns the same of the requests that only targets of this version can serve.
+    pub(crate) fn bound_waiting(&self, now: Time, version: &SoftwareVersion) -> (u32, Time, u8) {
+        let bound = self.bound_waits.iter().filter(|((bound, _), _)| bound == version);
+        sum_waits(now, bound.map(|(_, wait)| wait))
+    }
+
+    /// Returns the versions that waiting requests need.
+    pub(crate) fn bound_versions(&self, now: Time) -> Vec<SoftwareVersion> {
+        let recent = self.bound_waits.iter().filter(|(_, wait)| wait.counts(now));
+        let mut versions: Vec<_> = recent.map(|((version, _), _)| version.clone()).collect();
+        versions.dedup();
+        versions
     }
 }
 
@@ -105,6 +131,7 @@
         for model in self.reported_models.insert(host.clone(), models).unwrap_or_default() {
             if let Some(stats) = self.models.get_mut(&model) {
                 stats.waits.remove(host);
+                stats.bound_waits.retain(|(_, bound), _| bound != host);
             }
         }
         for entry in demand {
@@ -122,9 +149,13 @@
             if entry.waiting > 0 {
                 let since = now - Duration::from_millis(entry.oldest_ms);
                 let (count, priority) = (entry.waiting, entry.priority);
-                stats
-                    .waits
-                    .insert(host.clone(), WaitReport { count, since, reported_at: now, priority });
+                let wait = WaitReport { count, since, reported_at: now, priority };
+                match &entry.version {
+                    None => stats.waits.insert(host.clone(), wait),
+                    Some(version) => {
+                        stats.bound_waits.insert((version.clone(), host.clone()), wait)
+                    }
+                };
             }
         }
     }
@@ -156,8 +187,20 @@
         }
     }
 
+    /// Returns the number of requests that wait for a model, whatever else they need.
     pub(crate) fn waiting(&self, now: Time, model: &ModelName) -> u32 {
-        self.models.get(model).map_or(0, |stats| stats.waiting(now).0)
+        self.models
+            .get(model)
+            .map_or(0, |stats| stats.waiting(now).0 + sum_waits(now, stats.bound_waits.values()).0)
+    }
+
+    /// Returns when the oldest request with a need began to wait; `now` if there is none.
+    pub(crate) fn waiting_since(&self, now: Time, need: &ModelNeed) -> Time {
+        let Some(stats) = self.models.get(&need.model) else { return now };
+        match &need.version {
+            None => stats.waiting(now).1,
+            Some(version) => stats.bound_waiting(now, version).1,
+        }
     }
 
     /// Returns the number of all requests that arrived so far.
--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -9,9 +9,9 @@
 
 use base::{DomainName, ModelName, Name, Revision, SortedMap, TargetName, TeamName, Time};
 use fleet::{
-    EngineModel, EngineOrder, EngineReport, EngineSpec, FleetLayout, ModelRef, OrderReply,
-    PermitReply, PermitRequest, StoreChange, SyncReply, SyncReport, TargetDeparture, TargetEntry,
-    TargetPhase,
+    EngineModel, EngineOrder, EngineReport, EngineSpec, FleetLayout, ModelNeed, ModelRef,
+    OrderReply, PermitReply, PermitRequest, StoreChange, SyncReply, SyncReport, TargetDeparture,
+    TargetEntry, TargetPhase,
 };
 
 use limit::{
@@ -167,7 +167,7 @@
     /// When a target last appeared in the list for the first time.
     target_added_at: Time,
     /// Models without a replica, in the order in which they are to be loaded.
-    load_queue: Vec<ModelName>,
+    load_queue: Vec<ModelNeed>,
     /// Time of the last plan of loads.
     last_plan_at: Option<Time>,
     /// When a plan last searched all targets for additional replicas in uneven services.
@@ -494,7 +494,7 @@
         }
         self.plan_loads(now);
         let waiting = report.demand.iter().filter(|entry| entry.waiting > 0);
-        let estimates = waiting.map(|entry| self.load_estimate(now, &entry.model)).collect();
+        let estimates = waiting.map(|entry| self.load_estimate(now, &entry.need())).collect();
         for (name, record) in self.targets.iter_mut() {
             for (model, is_held) in record.replica_changes.drain(..) {
                 let update = match is_held {
@@ -587,7 +587,7 @@
 
     /// Returns when [`Leader::plan`] should be called next if no report or reply arrives before.
     pub fn next_plan_at(&self, now: Time) -> Option<Time> {
-        let has_waiting = self.demand.iter().any(|(_, stats)| stats.waiting(now).0 > 0);
+        let has_waiting = self.demand.iter().any(|(model, _)| self.demand.waiting(now, model) > 0);
         let next_check = has_waiting.then_some(now + Duration::from_millis(100));
         let next_poll = self.targets.values().filter_map(TargetRecord::poll_at).min();
         let next_unload = self.targets.values().filter_map(TargetRecord::unload_at).min();
--- a/crates/lead/src/leader/plan.rs
+++ b/crates/lead/src/leader/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{ModelName, SortedMap, TargetName, Time};
-use fleet::{EngineModel, EngineSpec, LoadEstimate, ModelRef};
+use fleet::{EngineModel, EngineSpec, LoadEstimate, ModelNeed, ModelRef, SoftwareVersion};
 
 use super::replicas::{ModelState, WorkView};
 use super::{Leader, LeaderEvent, LoadBacklog, LoadDecision, MIN_ARRIVALS};
@@ -40,6 +40,9 @@
 /// With this many models without a replica, only one store load at a time may add replicas to
 /// served models.
 const MANY_UNSERVED: usize = 16;
+/// Weight of a request that continues a stream, relative to one that begins one: its client has received
+/// a part that is lost otherwise.
+const CONTINUED_WEIGHT: f64 = 6.0;
 /// Concurrent loads of one model that requests wait for.
 const MAX_MODEL_LOADS: usize = 1;
 /// How long a model waits for a busy target that has its weights in memory or on disk before it is
@@ -87,6 +90,8 @@
 /// A model that may be loaded.
 pub(super) struct LoadCandidate {
     pub(super) model: ModelName,
+    /// Software version of the targets that may load it; `None` if all may.
+    version: Option<SoftwareVersion>,
     value: f64,
     /// Whether requests wait for the model.
     pub(super) has_waiting: bool,
@@ -97,6 +102,11 @@
 }
 
 impl LoadCandidate {
+    /// Returns what the requests need for which the model is loaded.
+    fn need(&self) -> ModelNeed {
+        ModelNeed { model: self.model.clone(), version: self.version.clone() }
+    }
+
     /// Returns the largest eviction cost for a model without a replica that no request waits for.
     pub(super) fn unserved_cost_limit(&self) -> f64 {
         self.value * UNSERVED_COST_RATIO
@@ -140,29 +150,34 @@
     } else {
         return None;
     };
-    Some(LoadCandidate { model: model.clone(), value, has_waiting: false, is_extra: true, reason })
+    let (model, version) = (model.clone(), None);
+    Some(LoadCandidate { model, version, value, has_waiting: false, is_extra: true, reason })
 }
 
 impl Leader {
-    pub(super) fn load_estimate(&self, now: Time, model: &ModelName) -> LoadEstimate {
-        let ready = self.ready_time(now, model).map(|at| at.since(now));
+    pub(super) fn load_estimate(&self, now: Time, need: &ModelNeed) -> LoadEstimate {
+        let ready = self.ready_time(now, need).map(|at| at.since(now));
         let ready_ms = ready.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX));
-        LoadEstimate { model: model.clone(), ready_ms }
+        let ModelNeed { model, version } = need.clone();
+        LoadEstimate { model, version, ready_ms }
     }
 
-    /// Returns when a model is expected to be held, by the loads in progress and its position in
-    /// the queue.
-    fn ready_time(&self, now: Time, model: &ModelName) -> Option<Time> {
-        let is_served = self.targets.values().any(|record| record.serves(model));
+    /// Returns when a model is expected to be held where it is needed, by the loads in progress and its
+    /// position in the queue.
+    fn ready_time(&self, now: Time, need: &ModelNeed) -> Option<Time> {
+        let model = &need.model;
+        let suited = || self.targets.values().filter(|record| record.meets(need));
+        let is_served = suited().any(|record| record.serves(model));
         if is_served {
             return Some(now);
         }
-        let loading = self.targets.values().filter_map(|record| record.load_ready_at(now, model));
+        let loading = suited().filter_map(|record| record.load_ready_at(now, model));
         if let Some(at) = loading.min() {
             return Some(at);
         }
         let (spec, description) = self.find_model(model)?;
-        let sources = self.weight_holders(spec, description);
+        let mut sources = self.weight_holders(spec, description);
+        sources.retain(|(record, _)| record.meets(need));
         let local_ready = sources.iter().filter_map(|(record, tier)| {
             let free_at = record.next_load_at(now)?;
             Some(free_at + RETIRE_DELAY + UNLOAD_SPAN + tier.load_time(description))
@@ -170,12 +185,11 @@
         if let Some(at) = local_ready.min() {
             return Some(at);
         }
-        let waiting_since = self.demand.get(model).map_or(now, |stats| stats.waiting(now).1);
-        let until = waiting_since + MAX_LOCAL_WAIT;
+        let until = self.demand.waiting_since(now, need) + MAX_LOCAL_WAIT;
         if !sources.is_empty() && until > now {
             return Some(until);
         }
-        let ahead = self.load_queue.iter().take_while(|other| *other != model);
+        let ahead = self.load_queue.iter().take_while(|other| *other != need);
         let position = ahead.count() + self.store_loads();
         let rounds = u32::try_from(position / self.config.loads_at_once + 1).unwrap_or(u32::MAX);
         Some(now + UNLOAD_SPAN + description.load_time * rounds.min(MAX_ROUNDS))
@@ -324,6 +338,7 @@
                 let reason = LoadReason::Unserved;
                 candidates.push(LoadCandidate {
                     model,
+                    version: None,
                     value,
                     has_waiting: true,
                     is_extra: false,
@@ -334,6 +349,7 @@
                 let model = model.clone();
                 candidates.push(LoadCandidate {
                     model,
+                    version: None,
                     value,
                     has_waiting: false,
                     is_extra: false,
@@ -353,6 +369,7 @@
                 let reason = LoadReason::Work(0.0);
                 candidates.push(LoadCandidate {
                     model,
+                    version: None,
                     value,
                     has_waiting: false,
                     is_extra: true,
@@ -360,6 +377,10 @@
                 });
             }
         }
+        let bound = self.bound_candidates(now);
+        let is_bound = |model: &ModelName| bound.iter().any(|other| other.model == *model);
+        candidates.retain(|candidate| candidate.has_waiting || !is_bound(&candidate.model));
+        candidates.extend(bound);
         let is_last = |candidate: &LoadCandidate| {
             candidate.is_extra && plan.work.model(&candidate.model).is_some()
         };
@@ -374,7 +395,7 @@
                 || is_search_due && domain_loads <= MAX_DOMAIN_LOADS
         });
         let unserved = candidates.iter().filter(|candidate| !candidate.is_extra);
-        self.load_queue = unserved.map(|candidate| candidate.model.clone()).collect();
+        self.load_queue = unserved.map(LoadCandidate::need).collect();
         let any_waiting = candidates.iter().any(|candidate| candidate.has_waiting);
         let max_extra_loads = match (self.load_queue.len() >= MANY_UNSERVED, any_waiting) {
             (true, _) => 1,
@@ -415,6 +436,36 @@
         self.record_backlog(now);
     }
 
+    /// Returns the loads for requests that continue streams, where no target of their version holds or
+    /// loads the model.
+    fn bound_candidates(&self, now: Time) -> Vec<LoadCandidate> {
+        let mut candidates = Vec::new();
+        for (model, stats) in self.demand.iter() {
+            for version in stats.bound_versions(now) {
+                let need = ModelNeed { model: model.clone(), version: Some(version) };
+                let mut suited = self.targets.values().filter(|record| record.meets(&need));
+                let is_held = |record: &TargetRecord| {
+                    record.serves(model) || record.load_ready_at(now, model).is_some()
+                };
+                let Some(version) = need.version.clone().filter(|_| !suited.any(is_held)) else {
+                    continue;
+                };
+                let (waiting, since, priority) = stats.bound_waiting(now, &version);
+                let urgency = 1.0 + f64::from(9 - priority.min(9)) * 0.1;
+                let age = now.since(since).as_secs_f64();
+                candidates.push(LoadCandidate {
+                    model: model.clone(),
+                    version: Some(version),
+                    value: f64::from(waiting) * urgency * CONTINUED_WEIGHT + age * 0.1,
+                    has_waiting: true,
+                    is_extra: false,
+                    reason: LoadReason::Unserved,
+                });
+            }
+        }
+        candidates
+    }
+
     /// Records an event with the queued models that have no load and where their weights are.
     fn record_backlog(&mut self, now: Time) {
         if self.last_backlog_at.is_some_and(|at| now.since(at) < BACKLOG_INTERVAL) {
@@ -423,7 +474,7 @@
         let mut backlog = LoadBacklog { store_loads: self.store_loads(), ..LoadBacklog::default() };
         let tasks = || self.targets.values().filter_map(|record| record.task.as_ref());
         backlog.store_growth = tasks().filter(|task| task.from_store && task.is_extra).count();
-        for model in &self.load_queue {
+        for ModelNeed { model, .. } in &self.load_queue {
             if tasks().any(|task| task.model == *model) {
                 continue;
             }
@@ -443,6 +494,18 @@
         }
     }
 
+    /// Returns whether a load that was begun in the same plan also serves the requests that wait for a
+    /// candidate.
+    fn is_covered(&self, now: Time, candidate: &LoadCandidate, plan: &LoadPlan) -> bool {
+        if candidate.version.is_none() {
+            let loading = plan.counts.get(&candidate.model).map_or(0, |count| count.loading);
+            return candidate.has_waiting && loading >= MAX_MODEL_LOADS;
+        }
+        let need = candidate.need();
+        let mut suited = self.targets.values().filter(|record| record.meets(&need));
+        suited.any(|record| record.load_ready_at(now, &candidate.model).is_some())
+    }
+
     /// Plans a load on a target that has the weights in memory or on disk. Returns whether the
     /// candidate needs no store load: its load is planned, or such a target should be free soon.
     fn plan_local_load(
@@ -452,6 +515,9 @@
         plan: &mut LoadPlan,
     ) -> bool {
         let model = &candidate.model;
+        if self.is_covered(now, candidate, plan) {
+            return true;
+        }
         let Some((spec, description)) = self.find_model(model) else { return true };
         let is_extra = candidate.is_extra && plan.work.model(model).is_some();
         if is_extra && plan.extra_loads >= MAX_EXTRA_LOADS {
@@ -459,8 +525,9 @@
         }
         let mut is_busy = false;
         let mut best: Option<LoadChoice> = None;
+        let need = candidate.need();
         for (record, tier) in self.weight_holders(spec, description) {
-            if record.holds(model) {
+            if record.holds(model) || !record.meets(&need) {
                 continue;
             }
             if !record.is_idle(now) {
@@ -477,8 +544,7 @@
             plan.extra_loads += usize::from(is_extra);
             return true;
         }
-        let waiting_since = self.demand.get(model).map_or(now, |stats| stats.waiting(now).1);
-        is_busy && now.since(waiting_since) < MAX_LOCAL_WAIT
+        is_busy && now.since(self.demand.waiting_since(now, &need)) < MAX_LOCAL_WAIT
     }
 
     /// Plans a load from the weight store. Returns whether all targets were searched for room.
@@ -491,16 +557,18 @@
         let model = &candidate.model;
         let Some((spec, description)) = self.find_model(model) else { return false };
         let (spec, description) = (spec.clone(), description.clone());
-        if self.store_loads() >= self.config.loads_at_once
+        if self.is_covered(now, candidate, plan)
+            || self.store_loads() >= self.config.loads_at_once
             || !self.window.has_room(now, spec.loads_per_second)
         {
             return false;
         }
         let mut best: Option<LoadChoice> = None;
+        let need = candidate.need();
         for record in self.targets.values().filter(|record| record.is_idle(now)) {
             let is_supported =
                 self.engine_spec(&record.entry).is_some_and(|s| s.models.contains(model));
-            if is_supported && !record.holds(model) {
+            if is_supported && !record.holds(model) && record.meets(&need) {
                 let choice =
                     self.evaluate_load(now, candidate, record, (&spec, &description), None, plan);
                 best = LoadChoice::cheaper(best, choice);
--- a/crates/lead/src/target.rs
+++ b/crates/lead/src/target.rs
@@ -4,8 +4,8 @@
 
 use base::{ModelName, SortedMap, Time};
 use fleet::{
-    EngineModel, EngineOrder, EngineReport, EngineSpec, HeldModel, ModelRef, OrderKind, OrderReply,
-    OrderSequence, TargetEntry, TargetPhase,
+    EngineModel, EngineOrder, EngineReport, EngineSpec, HeldModel, ModelNeed, ModelRef, OrderKind,
+    OrderReply, OrderSequence, TargetEntry, TargetPhase,
 };
 
 use crate::adapters::AdapterTable;
@@ -299,6 +299,11 @@
             && self.retiring.as_ref().is_none_or(|(retiring, _)| retiring != model)
     }
 
+    /// Returns whether requests with a need may be sent to the target once it holds the model.
+    pub(crate) fn meets(&self, need: &ModelNeed) -> bool {
+        need.is_met_by(self.entry.version.as_ref())
+    }
+
     pub(crate) fn used_at(&self, model: &ModelName) -> Option<Time> {
         self.last_used.get(model).copied()
     }
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -108,6 +108,7 @@
 pub fn report_waiting(leader: &mut Leader, now: Time, name: &str) {
     let demand = ModelDemand {
         model: model(name),
+        version: None,
         arrivals: 1,
         tokens: 9_000,
         waiting: 1,
--- a/crates/lead/tests/engine_speeds.rs
+++ b/crates/lead/tests/engine_speeds.rs
@@ -50,6 +50,7 @@
         let mut fleet = Fleet::start(&PERCENTS);
         let demand = ModelDemand {
             model: model(&name(50)),
+            version: None,
             arrivals: 400,
             tokens: 400 * prompt,
             waiting: 0,
--- a/crates/lead/tests/limited_target.rs
+++ b/crates/lead/tests/limited_target.rs
@@ -19,6 +19,7 @@
 fn report(leader: &mut Leader, now: Time, name: &str, arrivals: u32, limit: &LimitStatement) {
     let demand = ModelDemand {
         model: model(name),
+        version: None,
         arrivals,
         tokens: u64::from(arrivals) * 900,
         waiting: 0,
--- a/crates/lead/tests/load_queue.rs
+++ b/crates/lead/tests/load_queue.rs
@@ -52,6 +52,7 @@
     fn report_models(&mut self, now: Time, names: &[String], waiting: u32) {
         let demand = names.iter().map(|name| ModelDemand {
             model: model(name),
+            version: None,
             arrivals: waiting,
             tokens: u64::from(waiting) * 9_000,
             waiting,
--- a/crates/lead/tests/placement.rs
+++ b/crates/lead/tests/placement.rs
@@ -13,6 +13,7 @@
 fn demand(leader: &mut Leader, now: Time, name: &str, arrivals: u32, waiting: u32) {
     let entry = ModelDemand {
         model: model(name),
+        version: None,
         arrivals,
         tokens: u64::from(arrivals) * 6_000,
         waiting,
@@ -108,6 +109,7 @@
     let estimate_ms = |leader: &mut Leader, now: u64| {
         let entry = ModelDemand {
             model: model("d"),
+            version: None,
             arrivals: 0,
             tokens: 0,
             waiting: 1,
--- a/crates/lead/tests/sync_size.rs
+++ b/crates/lead/tests/sync_size.rs
@@ -74,6 +74,7 @@
             requested += 1;
             let demand = ModelDemand {
                 model: model(cold),
+                version: None,
                 arrivals: 1,
                 tokens: 9_000,
                 waiting: 1,
--- a/crates/lead/tests/uneven/mod.rs
+++ b/crates/lead/tests/uneven/mod.rs
@@ -145,6 +145,7 @@
                 let is_served = self.holders(index) > 0;
                 demand.push(ModelDemand {
                     model: model(&name(index)),
+                    version: None,
                     arrivals: arrivals as u32,
                     tokens: arrivals as u64 * self.tokens,
                     waiting: if is_served { 0 } else { arrivals as u32 },
