--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -705,8 +705,8 @@
     /// Removes a request, and refunds its cost if it certainly did not run.
     fn close(&mut self, now: Time, id: u64, not_run: bool) {
         let Some(request) = self.requests.remove(&id) else { return };
-        if let Some(need) = request.model_need() {
-            self.demand_table.remove_waiting(&need, id);
+        if let Some(subject) = &request.model {
+            self.demand_table.remove_waiting(&request.model_need(&subject.model), id);
         }
         let budget = request.team.as_ref().and_then(|team| self.budgets.get_mut(team));
         if let Some(budget) = budget.filter(|_| request.cost > 0.0) {
--- a/crates/front/src/dispatcher/preview.rs
+++ b/crates/front/src/dispatcher/preview.rs
@@ -296,14 +296,15 @@
     /// Returns what a request waits for after its first step.
     fn wait_reason(&self, now: Time, id: u64) -> Option<&'static str> {
         let request = self.requests.get(&id)?;
-        let waits_for_load = request
-            .model_need()
-            .is_some_and(|need| self.demand_table.waiting_since(&need, id).is_some());
+        let waits_for_load = |subject: &ModelRef| {
+            let need = request.model_need(&subject.model);
+            self.demand_table.waiting_since(&need, id).is_some()
+        };
         Some(if self.awaits_trial(now, id, request) {
             "the answer to a request with the same suspected parts"
         } else if !request.is_charged {
             ALLOWANCE
-        } else if waits_for_load {
+        } else if request.model.as_ref().is_some_and(waits_for_load) {
             "a load of the model"
         } else {
             "a target that is cold, paused or limited"
--- a/crates/front/src/dispatcher/schedule.rs
+++ b/crates/front/src/dispatcher/schedule.rs
@@ -87,9 +87,7 @@
         }
         let objective = request.route.objective.unwrap_or(request.route.timeout);
         request.stage = RequestStage::AwaitingPrefill;
-        if let Some(need) = request.model_need() {
-            self.demand_table.remove_waiting(&need, id);
-        }
+        self.demand_table.remove_waiting(&request.model_need(&subject.model), id);
         Some(Step::Reserve(Box::new(PrefillRequest {
             candidates,
             max_pause_ms: to_millis(max_pause),
--- a/crates/front/src/dispatcher/step.rs
+++ b/crates/front/src/dispatcher/step.rs
@@ -210,8 +210,8 @@
             return step;
         }
         if let Some((choice, access)) = self.find_choice(now, id, Some(subject)) {
-            if let Some(need) = self.requests.get(&id).and_then(OpenRequest::model_need) {
-                self.demand_table.remove_waiting(&need, id);
+            if let Some(request) = self.requests.get(&id) {
+                self.demand_table.remove_waiting(&request.model_need(&subject.model), id);
             }
             if choice.lacks_adapter && !access.needs_permit() {
                 return self.fetch(id, choice.target, subject);
@@ -241,9 +241,7 @@
         if let Some(step) = self.version_step(now, request, subject) {
             return step;
         }
-        let Some(need) = request.model_need() else {
-            return Step::Refuse(Refusal::new(ResultCode::OutcomeUnknown, "no model"));
-        };
+        let need = request.model_need(&subject.model);
         if self.demand_table.waiting_since(&need, id).is_none() {
             self.counts.load_waits += 1;
         }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{KeyHash, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
+use base::{KeyHash, ModelName, Name, ResultCode, TargetName, TeamName, Time, TokenCount};
 use fleet::{
     LayoutVersion, ModelNeed, ModelRef, PermitRequest, PromptPart, RouteEntry, SoftwareVersion,
     TargetEntry, TargetLoad,
@@ -298,14 +298,13 @@
         self.versions.includes(entry.version.as_ref()) && self.has_attempt_for(&entry.name)
     }
 
-    /// Returns what the request needs that waits for a load; `None` if it names no model.
-    pub(crate) fn model_need(&self) -> Option<ModelNeed> {
-        let model = self.model.as_ref()?.model.clone();
+    /// Returns what the request needs while it waits for a load of its model.
+    pub(crate) fn model_need(&self, model: &ModelName) -> ModelNeed {
         let version = match &self.versions {
             VersionScope::Any => None,
             VersionScope::Only(version) => version.clone(),
         };
-        Some(ModelNeed { model, version })
+        ModelNeed { model: model.clone(), version }
     }
 
     fn has_attempt_for(&self, target: &TargetName) -> bool {
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -158,6 +158,7 @@
     let mut read = std::pin::pin!(host.store.read_key(LAYOUT_KEY));
     let mut ask_at = if freshness.has_failed() { asked_at } else { asked_at + limit };
     let mut has_asked = false;
+    // Other daemons are asked while a read takes long, and after one that fails.
     let item = loop {
         let ask = async {
             sleep_until(ask_at).await;
