Log the steps of a layout check

Whether that is processing, the link or the store can't be told from layout_checked. It now has the time of each step, and how long the task waits for its turn.

--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::{Revision, Time};
 use daemon::boot_time;
@@ -120,11 +121,17 @@
         }
         let asked_at = boot_time();
         let age = host.layout_freshness.get().age(asked_at).unwrap_or_default();
-        let result = check_layout(&host).await;
+        let mut steps = CheckSteps::default();
+        let result = check_layout(&host, &mut steps).await;
         let now = boot_time();
+        let to_millis = |span: Option<Duration>| span.map(|span| span.as_millis() as u64);
         let line = LogLine::new("layout_checked")
             .with("age_ms", age.as_millis() as u64)
-            .with("took_ms", now.since(asked_at).as_millis() as u64);
+            .with("took_ms", now.since(asked_at).as_millis() as u64)
+            .with("changes_ms", to_millis(steps.changes))
+            .with("read_ms", to_millis(steps.read))
+            .with("peers_ms", to_millis(steps.peers))
+            .with("turn_ms", measure_turn().await.as_millis() as u64);
         let mut freshness = host.layout_freshness.get();
         freshness.end_check(now, result.is_err());
         host.layout_freshness.set(freshness);
@@ -135,16 +142,37 @@
     }
 }
 
+/// How long the steps of a check took; `None` for a step that was not taken.
+#[derive(Clone, Copy, Debug, Default)]
+struct CheckSteps {
+    /// Waiting for changes of the layout.
+    changes: Option<Duration>,
+    /// Reading the whole layout.
+    read: Option<Duration>,
+    /// Asking other daemons for it, the last time.
+    peers: Option<Duration>,
+}
+
+/// Returns how long all other tasks that are ready need before a task is its turn again. Each message
+/// that arrives waits for so long.
+async fn measure_turn() -> Duration {
+    let begun_at = boot_time();
+    tokio::task::yield_now().await;
+    boot_time().since(begun_at)
+}
+
 /// Asks the store whether there is a newer layout and applies it. Returns whether there was one.
-async fn check_layout(host: &Host) -> Result<bool, StoreError> {
+async fn check_layout(host: &Host, steps: &mut CheckSteps) -> Result<bool, StoreError> {
     let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
     let freshness = host.layout_freshness.get();
     let limit = freshness.change_timeout();
     if !is_unread && !freshness.has_failed() {
         let asked_at = boot_time();
         let watch = host.store.watch(LAYOUT_KEY, host.known_revision.get(), NO_WAIT);
+        let reply = tokio::time::timeout(limit, watch).await;
+        steps.changes = Some(boot_time().since(asked_at));
         // Any failure, also a history that is gone, leaves the value itself to be read.
-        if let Ok(Ok(WatchReply::Changes(events, _))) = tokio::time::timeout(limit, watch).await {
+        if let Ok(Ok(WatchReply::Changes(events, _))) = reply {
             let latest = events.into_iter().rev().find_map(|event| match event {
                 KeyEvent::Put(item) if item.key == LAYOUT_KEY => Some(item),
                 KeyEvent::Put(_) | KeyEvent::Deleted(..) => None,
@@ -157,20 +185,22 @@
     let asked_at = boot_time();
     let mut read = std::pin::pin!(host.store.read_key(LAYOUT_KEY));
     let mut ask_at = if freshness.has_failed() { asked_at } else { asked_at + limit };
-    let mut has_asked = false;
     // Other daemons are asked while a read takes long, and after one that fails.
     let item = loop {
         let ask = async {
             sleep_until(ask_at).await;
+            let begun_at = boot_time();
             ask_peers(host).await;
+            boot_time().since(begun_at)
         };
         tokio::select! {
             item = &mut read => break item,
-            () = ask => has_asked = true,
+            took = ask => steps.peers = Some(took),
         }
         ask_at = boot_time() + freshness.peer_pause();
     };
-    if item.is_err() && !has_asked {
+    steps.read = Some(boot_time().since(asked_at));
+    if item.is_err() && steps.peers.is_none() {
         ask_peers(host).await;
     }
     let is_new = item?.is_some_and(|item| apply_checked(host, &item, LayoutSource::Read));
