Add a failing test of a configuration on a narrow link

The daemon drops what has arrived at each time limit (0.38, 1.5 and 1.5 s) and begins again. The proxy of the tests can now limit its rate.

--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -17,6 +17,8 @@
 /// Number of other hosts that write evidence of crashes, and the pause between two records.
 const HOSTS: usize = 12;
 const RECORD_PAUSE: Duration = Duration::from_millis(150);
+/// Routes that an operator adds to a configuration at once.
+const WIDE_ROUTES: u64 = 600;
 /// Size of a host's record. The leader relays smaller ones.
 const RECORD_BYTES: usize = 6_000;
 
@@ -30,6 +32,20 @@
     config(version, &models.iter().map(String::as_str).collect::<Vec<_>>())
 }
 
+/// Returns a configuration with many routes.
+fn wide_config(version: u64) -> serde_json::Value {
+    let mut layout = large_config(version);
+    let routes = layout["routes"].as_array_mut().unwrap();
+    let route = routes[0].clone();
+    routes.extend((0..WIDE_ROUTES).map(|number| {
+        let mut route = route.clone();
+        route["name"] = format!("wide-{number}").into();
+        route["prefix"] = format!("/wide/{number}/").into();
+        route
+    }));
+    layout
+}
+
 async fn start_fleet(daemons: usize) -> PlatformFleet {
     start_fleet_with(daemons, |settings| settings).await
 }
@@ -176,6 +192,32 @@
     });
 }
 
+/// Guards against a configuration that never arrives over a narrow link, because reads that make progress
+/// are abandoned at a time limit and begin again.
+#[test]
+fn layout_on_narrow_link() {
+    run(async {
+        let bound = Duration::from_millis(3_000);
+        let change = |text: String| text.replace("grace = 5s\n", "grace = 5s\ndrain = 3s\n");
+        let fleet = start_fleet_with(2, change).await;
+        let leads = |front: &&FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
+        let leader = fleet.fronts.iter().find(leads).unwrap();
+        let follower = fleet.fronts.iter().find(|front| !leads(front)).unwrap();
+        let layout = wide_config(10);
+        // The link carries the configuration in a second.
+        follower.store.set_rate(layout.to_string().len() as u64 * 4 / 3);
+        leader.suspend();
+        fleet.store.put("op/config", &layout);
+        let written_at = Instant::now();
+        while version_of(follower).await != Some(10) {
+            assert!(written_at.elapsed() < bound, "{} is late", follower.name);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        eprintln!("{}: in force after {:?}", follower.name, written_at.elapsed());
+        leader.resume();
+    });
+}
+
 /// Guards against another key that begins like the configuration's and is read as the configuration
 /// when a daemon reads the whole store.
 #[test]
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +16,10 @@
     /// Whether data is held back while connections stay open.
     is_frozen: AtomicBool,
     delay_ms: AtomicU64,
+    /// Bytes per second that all connections together carry to clients; 0 without a limit.
+    rate: AtomicU64,
+    /// When the last byte that was taken leaves at that rate.
+    busy_until: Mutex<Option<Instant>>,
     /// Bytes forwarded in both directions.
     bytes: AtomicU64,
     /// Wakes all connections, which then close.
@@ -90,6 +94,11 @@
         self.faults.delay_ms.store(millis, Ordering::SeqCst);
     }
 
+    /// Limits the bytes per second that all connections together carry to clients, like a narrow link.
+    pub fn set_rate(&self, bytes_per_second: u64) {
+        self.faults.rate.store(bytes_per_second, Ordering::SeqCst);
+    }
+
     /// Closes all open connections; new ones are accepted.
     pub fn reset(&self) {
         self.faults.reset.notify_waiters();
@@ -112,8 +121,8 @@
     let (server_read, server_write) = server.into_split();
     let transfers = async {
         tokio::join!(
-            copy(client_read, server_write, &faults),
-            copy(server_read, client_write, &faults)
+            copy(client_read, server_write, &faults, false),
+            copy(server_read, client_write, &faults, true)
         )
     };
     tokio::select! {
@@ -122,7 +131,23 @@
     }
 }
 
-async fn copy<R, W>(mut from: R, mut destination: W, faults: &Faults)
+/// Waits until `count` bytes have crossed the narrow link, behind those of other connections.
+async fn cross_link(faults: &Faults, count: usize) {
+    let rate = faults.rate.load(Ordering::SeqCst);
+    if rate == 0 {
+        return;
+    }
+    let until = {
+        let mut busy_until = faults.busy_until.lock().unwrap_or_else(|error| error.into_inner());
+        let begun_at = busy_until.unwrap_or_else(Instant::now).max(Instant::now());
+        let until = begun_at + Duration::from_secs_f64(count as f64 / rate as f64);
+        *busy_until = Some(until);
+        until
+    };
+    tokio::time::sleep_until(until.into()).await;
+}
+
+async fn copy<R, W>(mut from: R, mut destination: W, faults: &Faults, is_to_client: bool)
 where
     R: AsyncReadExt + Unpin,
     W: AsyncWriteExt + Unpin,
@@ -140,6 +165,9 @@
         while faults.is_frozen.load(Ordering::SeqCst) {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
+        if is_to_client {
+            cross_link(faults, count).await;
+        }
         if destination.write_all(&buffer[..count]).await.is_err() {
             break;
         }
