Don't abandon the read of a layout that makes progress

Cause: every read had a limit on its whole time (0.38 s for changes, 0.5 s for a value that the leader left out, 1.5 s for a value, 0.5 s for other daemons, 1.5 s for the watch of all keys). When the leader falls silent a daemon begins two or more of them at once over one link; each limit drops what has arrived, and the next read begins at the first byte. A layout that needs longer than its limit never arrives. Four daemons were asked as well while the value was arriving, which took more of the link.

Now a read fails when nothing arrives for as long as its limit, and after 8 s in all; other daemons are asked only while the store hasn't begun to answer. Connecting counts towards the limit. Changes keep their limit on the whole time: they repeat the layout for each revision.

--- a/crates/buffer/src/body.rs
+++ b/crates/buffer/src/body.rs
@@ -1,5 +1,7 @@
 //! Reads HTTP bodies.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -15,6 +17,9 @@
     /// The buffers of the process are full, and this one is among the largest.
     #[error(transparent)]
     Evicted(#[from] BufferError),
+    /// Nothing of it arrived for too long.
+    #[error("stalled")]
+    Stalled,
     /// Its connection ended or failed before its end.
     #[error("broken off")]
     Broken,
@@ -25,16 +30,53 @@
 /// # Errors
 ///
 /// Fails if the body is longer, doesn't arrive completely, or is evicted from the buffer's pool.
-pub async fn read_body<B>(body: B, limit: usize, mut buffer: BodyBuffer) -> Result<Bytes, BodyError>
+pub async fn read_body<B>(body: B, limit: usize, buffer: BodyBuffer) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+{
+    read_frames(body, limit, None, buffer).await
+}
+
+/// Like [`read_body`], and fails if nothing arrives for as long as `stall`. A body that arrives slowly
+/// takes as long as it needs.
+///
+/// # Errors
+///
+/// Fails like [`read_body`], and with [`BodyError::Stalled`].
+pub async fn read_steady_body<B>(
+    body: B,
+    limit: usize,
+    stall: Duration,
+    buffer: BodyBuffer,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+{
+    read_frames(body, limit, Some(stall), buffer).await
+}
+
+async fn read_frames<B>(
+    body: B,
+    limit: usize,
+    stall: Option<Duration>,
+    mut buffer: BodyBuffer,
+) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
 {
     let mut body = std::pin::pin!(body);
     loop {
+        let stalled = async {
+            match stall {
+                Some(stall) => tokio::time::sleep(stall).await,
+                None => std::future::pending().await,
+            }
+        };
         let frame = tokio::select! {
             biased;
             () = buffer.evicted() => return Err(BufferError::Evicted.into()),
             frame = body.frame() => frame,
+            () = stalled => return Err(BodyError::Stalled),
         };
         let frame = match frame {
             Some(Ok(frame)) => frame,
--- a/crates/buffer/src/lib.rs
+++ b/crates/buffer/src/lib.rs
@@ -35,5 +35,5 @@
 mod body;
 mod pool;
 
-pub use body::{read_body, skip_body, BodyError};
+pub use body::{read_body, read_steady_body, skip_body, BodyError};
 pub use pool::{BodyBuffer, BufferCharge, BufferError, BufferOwner, BufferPool, PoolUsage};
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -35,7 +35,7 @@
 ) -> Result<Bytes, ResultCode> {
     let reading = buffer::read_body(body, limit, buffer);
     match tokio::time::timeout(timeout, reading).await {
-        Err(_) => Err(ResultCode::CallerTimeout),
+        Err(_) | Ok(Err(BodyError::Stalled)) => Err(ResultCode::CallerTimeout),
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(ResultCode::TooLarge),
         Ok(Err(BodyError::Evicted(_))) => Err(ResultCode::BuffersFull),
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -227,6 +227,9 @@
             return with_close(refusal_for_code(ResultCode::TooLarge));
         }
         Ok(Err(BodyError::Broken)) => return with_close(refusal_for_code(ResultCode::BadRequest)),
+        Ok(Err(BodyError::Stalled)) => {
+            return with_close(refusal_for_code(ResultCode::CallerTimeout))
+        }
         Ok(Err(BodyError::Evicted(error))) => {
             let buffered = host.request_buffers.usage().used.0;
             LogLine::new("body_unread").text("error", &error).with("buffered", buffered).info();
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -1,10 +1,11 @@
 //! Outgoing HTTP connections and the connection pool.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::{SortedMap, Time};
-use buffer::{read_body, BufferOwner, BufferPool};
+use buffer::{read_body, read_steady_body, BodyError, BufferOwner, BufferPool};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -81,6 +82,19 @@
     NotSent,
     /// The request may have reached the server.
     Lost,
+    /// The same, and nothing arrived for too long.
+    Silent,
+}
+
+/// Time limits of a call whose answer may be large.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallLimits<'a> {
+    /// Longest time in which nothing of the answer arrives.
+    pub(crate) silence: Duration,
+    /// Longest time from the head of the answer to its end.
+    pub(crate) total: Duration,
+    /// Set once the head of the answer has arrived.
+    pub(crate) has_begun: &'a Cell<bool>,
 }
 
 impl PooledConn {
@@ -141,14 +155,39 @@
         let request = to_request(address, call, extra).ok_or(ConnError::NotSent)?;
         let (head, body) = self.exchange(request).await?.into_parts();
         let buffer = buffers.open(BufferOwner::Server(address));
-        let body = read_body(body, limit, buffer).await.map_err(|error| {
-            LogLine::new("answer_unread").text("address", &address).text("error", &error).info();
-            ConnError::Lost
-        })?;
-        Ok(Response::from_parts(head, body))
+        let body = read_body(body, limit, buffer).await;
+        Ok(Response::from_parts(head, body.map_err(|error| log_unread(address, error))?))
+    }
+
+    /// Like [`call`](Self::call), with time limits by progress, so that a large answer may arrive over a
+    /// narrow link.
+    pub(crate) async fn call_steadily(
+        &mut self,
+        address: SocketAddr,
+        call: &HttpCall,
+        limits: &CallLimits<'_>,
+        (limit, buffers): (usize, &BufferPool),
+    ) -> Result<Response<Bytes>, ConnError> {
+        let request = to_request(address, call, None).ok_or(ConnError::NotSent)?;
+        let exchange = tokio::time::timeout(limits.silence, self.exchange(request));
+        let (head, body) = exchange.await.map_err(|_| ConnError::Silent)??.into_parts();
+        limits.has_begun.set(true);
+        let buffer = buffers.open(BufferOwner::Server(address));
+        let reading = read_steady_body(body, limit, limits.silence, buffer);
+        match tokio::time::timeout(limits.total, reading).await {
+            Ok(Ok(body)) => Ok(Response::from_parts(head, body)),
+            Ok(Err(BodyError::Stalled)) | Err(_) => Err(ConnError::Silent),
+            Ok(Err(error)) => Err(log_unread(address, error)),
+        }
     }
 }
 
+/// Logs why an answer was not read to its end.
+fn log_unread(address: SocketAddr, error: BodyError) -> ConnError {
+    LogLine::new("answer_unread").text("address", &address).text("error", &error).info();
+    ConnError::Lost
+}
+
 fn to_request(
     address: SocketAddr,
     call: &HttpCall,
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -149,7 +149,9 @@
         let response = match conn.exchange(out).await {
             Ok(response) => response,
             Err(ConnError::NotSent) => return AttemptOutcome::End(AttemptEnd::NotSent),
-            Err(ConnError::Lost) => return AttemptOutcome::End(AttemptEnd::Lost),
+            Err(ConnError::Lost | ConnError::Silent) => {
+                return AttemptOutcome::End(AttemptEnd::Lost)
+            }
         };
         read_response(host, (id, now), dispatch, (request, broken), response, conn).await
     };
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the store: the configuration, the targets, the leader and the registered daemons.
 //! Changes come from the daemon's own watch, or from the leader, which relays them.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,7 +46,7 @@
 /// Least time between two answers of the leader's watch. It is short because all other daemons
 /// depend on it.
 const LEADER_PAUSE: Duration = Duration::from_millis(300);
-/// How long the store may take to return a layout before the daemon asks the leader for it.
+/// How long nothing of a layout may arrive from the store before the daemon asks the leader for it.
 const LAYOUT_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Prefix of all keys that are followed.
 const ALL_PREFIX: &str = "";
@@ -253,15 +254,15 @@
         let Some(read) = host.unread_values.borrow_mut().begin_read(boot_time()) else { return };
         let is_layout = read.class == ValueClass::Layout;
         let asked_at = boot_time();
-        let relay_at = asked_at + LAYOUT_READ_TIMEOUT;
-        let mut call = std::pin::pin!(host.store.read_key(&read.key));
+        let limit = if is_layout { LAYOUT_READ_TIMEOUT } else { host.settings.call_timeout };
+        let has_begun = Cell::new(false);
+        let mut call = std::pin::pin!(host.store.read_key_within(&read.key, limit, &has_begun));
         let item = loop {
             tokio::select! {
                 item = &mut call => break item,
                 // The store may be unreachable for this daemon only, so relayed changes are still
                 // applied.
                 () = host.relay_changed.notified() => self.apply_relayed(),
-                () = sleep_until(relay_at), if is_layout => break Err(StoreError::Lost),
             }
             if host.unread_values.borrow().is_overtaken(boot_time(), &read) {
                 return;
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -1,6 +1,7 @@
 //! The layout in force, and the task that keeps it current when the leader and the follower of the
 //! store can't.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -168,7 +169,9 @@
     let limit = freshness.change_timeout();
     if !is_unread && !freshness.has_failed() {
         let asked_at = boot_time();
-        let watch = host.store.watch(LAYOUT_KEY, host.known_revision.get(), NO_WAIT);
+        let known = host.known_revision.get();
+        let watch = host.store.watch(LAYOUT_KEY, known, NO_WAIT);
+        // Changes repeat the whole layout for each revision, so a slow answer isn't waited for.
         let reply = tokio::time::timeout(limit, watch).await;
         steps.changes = Some(boot_time().since(asked_at));
         // Any failure, also a history that is gone, leaves the value itself to be read.
@@ -183,12 +186,18 @@
         }
     }
     let asked_at = boot_time();
-    let mut read = std::pin::pin!(host.store.read_key(LAYOUT_KEY));
+    let has_begun = Cell::new(false);
+    let timeout = host.settings.call_timeout;
+    let mut read = std::pin::pin!(host.store.read_key_within(LAYOUT_KEY, timeout, &has_begun));
     let mut ask_at = if freshness.has_failed() { asked_at } else { asked_at + limit };
-    // Other daemons are asked while a read takes long, and after one that fails.
+    // Other daemons are asked while the store doesn't begin to answer, and after a read that fails. Their
+    // answers would take up the link on which one arrives.
     let item = loop {
         let ask = async {
             sleep_until(ask_at).await;
+            if has_begun.get() {
+                std::future::pending::<()>().await;
+            }
             let begun_at = boot_time();
             ask_peers(host).await;
             boot_time().since(begun_at)
@@ -214,11 +223,11 @@
     let Some(revision) = known.map(|known| Revision(known.0 + 1)) else { return };
     let own = &host.settings.host;
     let peers = host.peer_book.borrow().draw(own, rand::random(), PEERS_PER_CHECK);
-    let asked: FuturesUnordered<_> =
-        peers.into_iter().map(|address| peer::fetch_layout_from(host, address, revision)).collect();
-    let newer = std::pin::pin!(asked.filter_map(|value| async { value }));
     let limit = host.layout_freshness.get().peer_timeout();
-    if let Ok((Some(value), _)) = tokio::time::timeout(limit, newer.into_future()).await {
+    let ask = |address| peer::fetch_layout_from(host, address, revision, limit);
+    let asked: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
+    let newer = std::pin::pin!(asked.filter_map(|value| async { value }));
+    if let (Some(value), _) = newer.into_future().await {
         let key = LAYOUT_KEY.to_owned();
         apply_checked(host, &KeyValue { key, value, revision }, LayoutSource::Peer);
     }
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -1,5 +1,6 @@
 //! Messages between the daemons and their leader.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use serde_json::json;
 
 use crate::answer::{full_body, ReplyBody};
-use crate::conn::PooledConn;
+use crate::conn::{CallLimits, ConnError, PooledConn};
 use crate::exchange::{log_limit, MAX_IDLE_TIME};
 use crate::host::{sleep_until, Host, RelayedBatch};
 use crate::layout;
@@ -33,8 +34,9 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit of a report to the leader.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time limit of a request for the layout, whose answer may be large.
+/// Longest time in which nothing of a layout arrives from a peer, and to its end.
 const LAYOUT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const MAX_LAYOUT_TIME: Duration = Duration::from_secs(8);
 /// How long a request waits for an adapter.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time limit of a request for a permit, which is valid for little longer.
@@ -248,24 +250,34 @@
     message: &M,
     limit: Duration,
 ) -> Option<A> {
-    let body = post_to_peer(host, address, path, message, limit).await?;
-    serde_json::from_slice(&body).ok()
+    let has_begun = Cell::new(false);
+    let limits = CallLimits { silence: limit, total: limit, has_begun: &has_begun };
+    let exchange = post_to_peer(host, address, path, message, &limits);
+    let body = tokio::time::timeout(limit, exchange).await;
+    if body.is_err() {
+        host.conn_pool.borrow_mut().remove_all(address);
+    }
+    serde_json::from_slice(&body.ok()??).ok()
 }
 
 /// Asks the leader for a layout of at least this revision.
 pub(crate) async fn fetch_layout(host: &Host, revision: Revision) -> Option<Vec<u8>> {
     let address = host.leader_entry.borrow().as_ref().map(|entry| entry.address)?;
-    fetch_layout_from(host, address, revision).await
+    fetch_layout_from(host, address, revision, LAYOUT_TIMEOUT).await
 }
 
-/// Asks a daemon for a layout of at least this revision.
+/// Asks a daemon for a layout of at least this revision. Fails if nothing arrives for as long as
+/// `limit`.
 pub(crate) async fn fetch_layout_from(
     host: &Host,
     address: SocketAddr,
     revision: Revision,
+    limit: Duration,
 ) -> Option<Vec<u8>> {
     let message = LayoutRequest { revision };
-    let body = post_to_peer(host, address, LAYOUT_PATH, &message, LAYOUT_TIMEOUT).await?;
+    let has_begun = Cell::new(false);
+    let limits = CallLimits { silence: limit, total: MAX_LAYOUT_TIME, has_begun: &has_begun };
+    let body = post_to_peer(host, address, LAYOUT_PATH, &message, &limits).await?;
     Some(body.to_vec())
 }
 
@@ -277,33 +289,32 @@
 }
 
 /// Sends a message to a peer and returns the body of its answer. Returns `None` if that fails or
-/// takes longer than `limit`.
+/// exceeds `limits`.
 async fn post_to_peer<M: Serialize>(
     host: &Host,
     address: SocketAddr,
     path: &str,
     message: &M,
-    limit: Duration,
+    limits: &CallLimits<'_>,
 ) -> Option<Bytes> {
     let body = serde_json::to_vec(message).ok()?;
     let call = HttpCall { method: Method::POST, path: path.to_owned(), body };
-    let exchange = async {
-        let pooled = host.conn_pool.borrow_mut().take(boot_time(), address, MAX_IDLE_TIME);
-        let mut conn = match pooled {
-            Some(conn) => conn,
-            None => PooledConn::open(address, CONNECT_TIMEOUT).await?,
-        };
-        let buffers = (MAX_MESSAGE_BYTES, &host.control_buffers);
-        let answer = conn.call(address, &call, None, buffers).await.ok()?;
-        host.conn_pool.borrow_mut().put(boot_time(), address, conn);
-        (answer.status() == StatusCode::OK).then(|| answer.into_body())
+    let pooled = host.conn_pool.borrow_mut().take(boot_time(), address, MAX_IDLE_TIME);
+    let mut conn = match pooled {
+        Some(conn) => conn,
+        None => PooledConn::open(address, CONNECT_TIMEOUT.min(limits.silence)).await?,
     };
-    match tokio::time::timeout(limit, exchange).await {
-        Ok(body) => body,
-        Err(_) => {
+    let buffers = (MAX_MESSAGE_BYTES, &host.control_buffers);
+    match conn.call_steadily(address, &call, limits, buffers).await {
+        Ok(answer) => {
+            host.conn_pool.borrow_mut().put(boot_time(), address, conn);
+            (answer.status() == StatusCode::OK).then(|| answer.into_body())
+        }
+        Err(ConnError::Silent) => {
             host.conn_pool.borrow_mut().remove_all(address);
             None
         }
+        Err(ConnError::NotSent | ConnError::Lost) => None,
     }
 }
 
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -12,7 +12,7 @@
 use platform::store::{self, RangePage, RenewalReply, TxnReply, WatchReply};
 use platform::{FormatError, HttpCall};
 
-use crate::conn::{ConnError, ConnPool, PooledConn};
+use crate::conn::{CallLimits, ConnError, ConnPool, PooledConn};
 use crate::logging::LogLine;
 
 /// Time limit of connecting to the store.
@@ -22,6 +22,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 /// Largest answer of the store.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Longest time to read an answer that keeps arriving.
+const MAX_READ_TIME: Duration = Duration::from_secs(8);
 /// How much longer than its wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 
@@ -132,8 +134,8 @@
         after: Revision,
         wait: Duration,
     ) -> Result<WatchReply, StoreError> {
-        let call = store::watch_call(prefix, after, wait);
         let limit = (wait + WATCH_SLACK).max(self.timeout);
+        let call = store::watch_call(prefix, after, wait);
         let (era, status, body) = self.call(&call, limit).await?;
         match store::watch_reply(status, &body)? {
             // The changes since another revision with the same number.
@@ -147,7 +149,19 @@
     }
 
     pub(crate) async fn read_key(&self, key: &str) -> Result<Option<KeyValue>, StoreError> {
-        let (era, status, body) = self.call(&store::key_call(key), self.timeout).await?;
+        self.read_key_within(key, self.timeout, &Cell::new(false)).await
+    }
+
+    /// Like [`read_key`](Self::read_key), and fails if nothing arrives for as long as `limit`. Sets
+    /// `has_begun` once the answer begins to arrive.
+    pub(crate) async fn read_key_within(
+        &self,
+        key: &str,
+        limit: Duration,
+        has_begun: &Cell<bool>,
+    ) -> Result<Option<KeyValue>, StoreError> {
+        let limits = CallLimits { silence: limit, total: MAX_READ_TIME, has_begun };
+        let (era, status, body) = self.call_within(&store::key_call(key), &limits).await?;
         let item = store::key_reply(status, &body)?;
         Ok(item.map(|item| value_in_era(era, item)))
     }
@@ -205,27 +219,36 @@
     }
 
     async fn call(&self, call: &HttpCall, limit: Duration) -> Result<Answer, StoreError> {
+        let has_begun = Cell::new(false);
+        let limits = CallLimits { silence: limit, total: MAX_READ_TIME, has_begun: &has_begun };
+        self.call_within(call, &limits).await
+    }
+
+    async fn call_within(
+        &self,
+        call: &HttpCall,
+        limits: &CallLimits<'_>,
+    ) -> Result<Answer, StoreError> {
         self.calls.set(self.calls.get() + 1);
         let now: Time = boot_time();
         let pooled = self.pool.borrow_mut().take(now, self.address, MAX_IDLE_TIME);
         let mut conn = match pooled {
             Some(conn) => conn,
-            None => {
-                PooledConn::open(self.address, CONNECT_TIMEOUT).await.ok_or(StoreError::NotSent)?
-            }
+            None => PooledConn::open(self.address, CONNECT_TIMEOUT.min(limits.silence))
+                .await
+                .ok_or(StoreError::NotSent)?,
         };
-        let reading = conn.call(self.address, call, None, (MAX_ANSWER_BYTES, &self.buffers));
-        let answer = tokio::time::timeout(limit, reading).await;
-        match answer {
-            Ok(Ok(answer)) => {
+        let buffers = (MAX_ANSWER_BYTES, &self.buffers);
+        match conn.call_steadily(self.address, call, limits, buffers).await {
+            Ok(answer) => {
                 self.pool.borrow_mut().put(boot_time(), self.address, conn);
                 let era = store::read_era(answer.headers())?;
                 self.record_era(era)?;
                 Ok((era, answer.status().as_u16(), answer.into_body()))
             }
-            Ok(Err(ConnError::NotSent)) => Err(StoreError::NotSent),
-            Ok(Err(ConnError::Lost)) => Err(StoreError::Lost),
-            Err(_) => {
+            Err(ConnError::NotSent) => Err(StoreError::NotSent),
+            Err(ConnError::Lost) => Err(StoreError::Lost),
+            Err(ConnError::Silent) => {
                 // The other idle connections are probably dead as well.
                 self.pool.borrow_mut().remove_all(self.address);
                 Err(StoreError::Lost)
