Add failing tests of a daemon that is cut off from all targets

A daemon whose links to all targets are refused, or stay without an answer, while another daemon reaches them: of 30 requests 3 s later 0 are served in either case, and 30 and 29 of 30 after the cut. The store of the tests can serve a view with other addresses, so that one daemon reaches the servers through links of its own.

--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -29,11 +29,67 @@
     pub store: FaultProxy,
 }
 
+/// A link between one daemon and a server, which can be cut.
+pub struct ServerLink {
+    proxy: Option<FaultProxy>,
+    /// Listener whose queue of connections is full, and the connections that fill it.
+    full_listener: Option<(socket2::Socket, Vec<socket2::Socket>)>,
+    address: SocketAddr,
+    server: SocketAddr,
+}
+
+impl ServerLink {
+    async fn start(server: SocketAddr) -> ServerLink {
+        let proxy = FaultProxy::start(server).await.unwrap();
+        let address = proxy.address();
+        ServerLink { proxy: Some(proxy), full_listener: None, address, server }
+    }
+
+    /// Resets the connections and refuses new ones.
+    pub fn refuse(&mut self) {
+        self.proxy = None;
+    }
+
+    /// Leaves connections and attempts to connect without an answer.
+    pub fn silence(&mut self) {
+        self.proxy.take().into_iter().for_each(|proxy| proxy.set_frozen(true));
+        let new_socket = || {
+            let stream = (socket2::Domain::IPV4, socket2::Type::STREAM);
+            let socket = socket2::Socket::new(stream.0, stream.1, None).unwrap();
+            socket.set_reuse_address(true).unwrap();
+            socket
+        };
+        let listener = new_socket();
+        // The port is free as soon as the proxy's task has ended.
+        while listener.bind(&self.address.into()).is_err() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        listener.listen(0).unwrap();
+        let fill = |_| {
+            let socket = new_socket();
+            socket.set_nonblocking(true).unwrap();
+            let _ = socket.connect(&self.address.into());
+            socket
+        };
+        let sockets = (0..3).map(fill).collect();
+        self.full_listener = Some((listener, sockets));
+    }
+
+    /// Ends a cut.
+    pub async fn restore(&mut self) {
+        self.full_listener = None;
+        let listener = tokio::net::TcpListener::bind(self.address).await.unwrap();
+        self.proxy = Some(FaultProxy::with_listener(listener, self.server).unwrap());
+    }
+}
+
 /// Daemon processes, the store and the servers.
 pub struct PlatformFleet {
     pub store: StandinStore,
     pub servers: Vec<StandinServer>,
     pub fronts: Vec<FrontProcess>,
+    /// Links of the daemons that were started with [`PlatformFleet::add_linked_front`].
+    pub links: Vec<ServerLink>,
     directory: PathBuf,
     /// Heartbeat number of the servers' latest entries.
     beat: u64,
@@ -78,6 +134,7 @@
             store,
             servers: Vec::new(),
             fronts: Vec::new(),
+            links: Vec::new(),
             directory,
             beat: 1,
             start_number: 0,
@@ -166,8 +223,31 @@
         crashed
     }
 
+    /// Adds a daemon that reaches the present servers through links, and waits until it is ready.
+    pub async fn add_linked_front(&mut self) {
+        let mut aliases = Vec::new();
+        for server in &self.servers {
+            let link = ServerLink::start(server.address()).await;
+            aliases.push((server.address(), link.address));
+            self.links.push(link);
+        }
+        let (store, _) = self.store.serve_view(aliases).await;
+        let number = self.fronts.len();
+        self.add_front_at(store, number, |settings| settings).await;
+        self.wait_ready(number).await;
+    }
+
     async fn add_front(&mut self, number: usize, change_settings: fn(String) -> String) {
-        let store = FaultProxy::start(self.store.address()).await.unwrap();
+        self.add_front_at(self.store.address(), number, change_settings).await;
+    }
+
+    async fn add_front_at(
+        &mut self,
+        store: SocketAddr,
+        number: usize,
+        change_settings: fn(String) -> String,
+    ) {
+        let store = FaultProxy::start(store).await.unwrap();
         let loopback = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let [caller, ready, peer, metrics] = std::array::from_fn(|_| loopback(free_port()));
         let name = format!("host-{number}");
