Read the value of a layout when its changes are longer than one layout

Changes repeat the layout for each revision. Over a busy link that takes longer than the value, and since changes that arrive aren't abandoned, a check waited for them. They are now given up as soon as their length is known to exceed one layout.

--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -8,7 +8,7 @@
 use buffer::{read_body, read_steady_body, BodyError, BufferOwner, BufferPool};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response};
@@ -172,6 +172,9 @@
         let exchange = tokio::time::timeout(limits.silence, self.exchange(request));
         let (head, body) = exchange.await.map_err(|_| ConnError::Silent)??.into_parts();
         limits.has_begun.set(true);
+        if body.size_hint().lower() > limit as u64 {
+            return Err(log_unread(address, BodyError::TooLong));
+        }
         let buffer = buffers.open(BufferOwner::Server(address));
         let reading = read_steady_body(body, limit, limits.silence, buffer);
         match tokio::time::timeout(limits.total, reading).await {
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -26,6 +26,11 @@
 /// Number of daemons that are asked for a newer layout if the store doesn't answer a check.
 const PEERS_PER_CHECK: usize = 4;
 
+/// Largest answer with one change of the layout, as a multiple of the layout in force, which is encoded in
+/// four thirds of its size and may have grown; and the least value.
+const ENCODED_FACTOR: usize = 2;
+const MIN_CHANGE_BYTES: usize = 16 << 10;
+
 /// How a daemon got a layout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LayoutSource {
@@ -170,12 +175,11 @@
     if !is_unread && !freshness.has_failed() {
         let asked_at = boot_time();
         let known = host.known_revision.get();
-        let watch = host.store.watch(LAYOUT_KEY, known, NO_WAIT);
-        // Changes repeat the whole layout for each revision, so a slow answer isn't waited for.
-        let reply = tokio::time::timeout(limit, watch).await;
+        let limits = (limit, max_change_bytes(host));
+        let reply = host.store.watch_within(LAYOUT_KEY, known, NO_WAIT, limits).await;
         steps.changes = Some(boot_time().since(asked_at));
         // Any failure, also a history that is gone, leaves the value itself to be read.
-        if let Ok(Ok(WatchReply::Changes(events, _))) = reply {
+        if let Ok(WatchReply::Changes(events, _)) = reply {
             let latest = events.into_iter().rev().find_map(|event| match event {
                 KeyEvent::Put(item) if item.key == LAYOUT_KEY => Some(item),
                 KeyEvent::Put(_) | KeyEvent::Deleted(..) => None,
@@ -217,6 +221,13 @@
     Ok(is_new)
 }
 
+/// Returns the size of an answer with one change of the layout. An answer with several repeats the whole
+/// layout for each, so that reading the value is shorter.
+fn max_change_bytes(host: &Host) -> usize {
+    let known = host.layout_item.borrow().as_ref().map_or(0, |item| item.value.len());
+    MIN_CHANGE_BYTES + known * ENCODED_FACTOR
+}
+
 /// Asks other daemons for a newer layout. None of their answers confirms that there is no later one.
 async fn ask_peers(host: &Host) {
     let known = host.layout_item.borrow().as_ref().map(|item| item.revision);
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -135,8 +135,22 @@
         wait: Duration,
     ) -> Result<WatchReply, StoreError> {
         let limit = (wait + WATCH_SLACK).max(self.timeout);
+        self.watch_within(prefix, after, wait, (limit, MAX_ANSWER_BYTES)).await
+    }
+
+    /// Like [`watch`](Self::watch), and fails if nothing arrives for as long as `silence`, or if the
+    /// answer is longer than `max_bytes`.
+    pub(crate) async fn watch_within(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+        (silence, max_bytes): (Duration, usize),
+    ) -> Result<WatchReply, StoreError> {
         let call = store::watch_call(prefix, after, wait);
-        let (era, status, body) = self.call(&call, limit).await?;
+        let has_begun = Cell::new(false);
+        let limits = CallLimits { silence, total: MAX_READ_TIME, has_begun: &has_begun };
+        let (era, status, body) = self.call_within(&call, &limits, max_bytes).await?;
         match store::watch_reply(status, &body)? {
             // The changes since another revision with the same number.
             WatchReply::Changes(..) if after.era() != era => Ok(WatchReply::Compacted),
@@ -161,7 +175,8 @@
         has_begun: &Cell<bool>,
     ) -> Result<Option<KeyValue>, StoreError> {
         let limits = CallLimits { silence: limit, total: MAX_READ_TIME, has_begun };
-        let (era, status, body) = self.call_within(&store::key_call(key), &limits).await?;
+        let (era, status, body) =
+            self.call_within(&store::key_call(key), &limits, MAX_ANSWER_BYTES).await?;
         let item = store::key_reply(status, &body)?;
         Ok(item.map(|item| value_in_era(era, item)))
     }
@@ -221,13 +236,14 @@
     async fn call(&self, call: &HttpCall, limit: Duration) -> Result<Answer, StoreError> {
         let has_begun = Cell::new(false);
         let limits = CallLimits { silence: limit, total: MAX_READ_TIME, has_begun: &has_begun };
-        self.call_within(call, &limits).await
+        self.call_within(call, &limits, MAX_ANSWER_BYTES).await
     }
 
     async fn call_within(
         &self,
         call: &HttpCall,
         limits: &CallLimits<'_>,
+        max_bytes: usize,
     ) -> Result<Answer, StoreError> {
         self.calls.set(self.calls.get() + 1);
         let now: Time = boot_time();
@@ -238,7 +254,7 @@
                 .await
                 .ok_or(StoreError::NotSent)?,
         };
-        let buffers = (MAX_ANSWER_BYTES, &self.buffers);
+        let buffers = (max_bytes, &self.buffers);
         match conn.call_steadily(self.address, call, limits, buffers).await {
             Ok(answer) => {
                 self.pool.borrow_mut().put(boot_time(), self.address, conn);
