Hand requests to other daemons while their targets can't be reached

Cause: a daemon tried one target after the other, 600 ms each, and nobody else was asked, although other daemons reached all of them. It didn't know that it was cut off: every request found out for itself, and ended as refused (load too late, no target) or with its client gone.

A service's path now counts as cut when three of its targets (all, if it has fewer) can't be connected to and no connection has succeeded meanwhile; the first failure has four targets probed. While it is cut, requests that no target can have run go to a peer as the client sent them, with the time that is left. The peer admits, charges and runs them like its own and never hands them on; its answer is passed through as it arrives. A peer that is cut off too, stops or has an older layout declines, and the next one is asked; if all are cut off, the request is refused at once. If the link to the peer breaks, only a request that may be repeated goes to another one. One target is probed every 500 ms; when it answers, what failed during the cut is forgotten. A refused connection is evidence of a crash only if another target can be reached.

--- a/crates/front/src/dispatcher.rs
+++ b/crates/front/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Holds all requests of a daemon and decides about them.
 
+mod paths;
 mod preview;
 mod schedule;
 mod step;
@@ -26,6 +27,7 @@
 use crate::budget::TeamBudget;
 use crate::choice::TargetChooser;
 use crate::demand::DemandTable;
+use crate::path::ServicePaths;
 use crate::record::PromptChain;
 use crate::request::{
     Arrival, AttemptEnd, FetchEnd, OpenRequest, PermitEnd, PrefillState, Refusal, RequestStage,
@@ -120,6 +122,7 @@
     /// Targets that have become cold, likewise.
     changed_cold: Vec<(TargetName, Option<u64>)>,
     ledger: CrashLedger,
+    paths: ServicePaths,
     /// The leader isn't asked for prefill time before this time, because it didn't answer.
     prefill_from: Time,
 }
@@ -145,6 +148,7 @@
             acknowledged: 0,
             synced_at: now,
             ledger: CrashLedger::new(config.host.clone(), config.seed),
+            paths: ServicePaths::default(),
             config,
             prefill_from: now,
             leaving: Vec::new(),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -35,6 +35,7 @@
 mod config;
 mod demand;
 mod dispatcher;
+mod path;
 mod record;
 mod request;
 mod retry;
@@ -48,6 +49,7 @@
     CandidatePreview, DispatchCounts, NextAction, PreviewError, PreviewQuery, PreviewVerdict,
     RequestDispatcher, RequestPreview,
 };
+pub use path::ServicePaths;
 pub use request::{Arrival, AttemptEnd, ChoiceNote, Dispatch, FetchEnd, PermitEnd, Refusal, Step};
 pub use retry::RetryBudget;
 pub use stop::StopSchedule;
--- a/crates/front/src/targets.rs
+++ b/crates/front/src/targets.rs
@@ -749,6 +749,14 @@
         }
     }
 
+    /// Forgets the failures of a service's targets, which had another reason than these targets.
+    pub(crate) fn clear_failures(&mut self, now: Time, service: &Name) {
+        for state in self.targets.values_mut().filter(|state| state.entry.service == *service) {
+            (state.failures, state.failure_share) = (0, 0.0);
+            (state.avoid_until, state.unreachable_until) = (now, now);
+        }
+    }
+
     /// Records the leader's statement of whether a target holds a model.
     pub fn record_model(&mut self, now: Time, name: &TargetName, model: &ModelName, held: bool) {
         let subject = ModelRef { model: model.clone(), adapter: None };
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -35,6 +35,7 @@
 mod adapters;
 mod config;
 mod demand;
+mod helpers;
 mod layout;
 mod leader;
 mod peers;
@@ -51,6 +52,7 @@
 pub mod work;
 
 pub use config::{LeaderConfig, LeaderTerm};
+pub use helpers::HelperBook;
 pub use layout::LayoutFreshness;
 pub use leader::{
     AdapterState, Leader, LeaderAction, LeaderEvent, LoadBacklog, LoadDecision, LoadResult,
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -29,10 +29,11 @@
 use crate::exchange::{
     log_unread, run_attempt, AttemptOutcome, BrokenStream, ForwardRequest, OpenStream,
 };
+use crate::handover::{self, Handover, HandoverEnd};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::origins::{self, OriginSearch};
-use crate::peer;
+use crate::{path, peer};
 
 /// Longest time to receive the body of a request. An earlier deadline shortens it.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,6 +49,8 @@
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Retry-after time of a stream whose beginning the store could not be asked for.
 const LOOKUP_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-after time of a request whose targets no daemon reaches.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-after time of a request whose body didn't fit into the daemon's memory.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time limit of finding out whether a target's process has ended.
@@ -69,6 +72,8 @@
     first_event_at: Option<Time>,
     /// Whether the dispatcher has finished the request.
     is_done: bool,
+    /// Whether a peer has handed the request over. It isn't handed on.
+    is_from_peer: bool,
 }
 
 impl RequestGuard {
@@ -90,7 +95,7 @@
             self.log_line("crash_unchecked").text("digest", &self.digest).info();
             return end;
         };
-        if !is_refused(address, CRASH_CHECK_TIMEOUT).await {
+        if !is_refused(address, CRASH_CHECK_TIMEOUT).await || self.is_path_cut().await {
             self.log_line("crash_excluded").text("digest", &self.digest).info();
             return end;
         }
@@ -105,6 +110,18 @@
         AttemptEnd::Crashed
     }
 
+    /// Returns whether this daemon reaches no other target of the request's service either, so that the
+    /// refused connection says nothing about the target.
+    async fn is_path_cut(&self) -> bool {
+        let running =
+            self.host.dispatcher.borrow().running_on(self.id).map(|(name, _)| name.clone());
+        let Some(target) = running else { return false };
+        path::record_connection(&self.host, &target, false);
+        let service = self.host.dispatcher.borrow().service_of(self.id).cloned();
+        let Some(service) = service else { return false };
+        path::has_only_failures(&self.host, &service).await
+    }
+
     /// Records how the current attempt ended and returns what to do next.
     fn end_attempt(&mut self, end: AttemptEnd) -> NextAction {
         let now = boot_time();
@@ -164,7 +181,10 @@
 /// Answers one request of a client.
 pub(crate) async fn handle(host: Rc<Host>, request: Request<Incoming>) -> Response<ReplyBody> {
     let response = if host.accepts_requests(boot_time()) {
-        receive(host.clone(), request).await
+        match receive(host.clone(), request, false).await {
+            Some(response) => response,
+            None => refusal_for_code(ResultCode::TargetUnreachable),
+        }
     } else {
         refuse_late(&host, request).await
     };
@@ -172,6 +192,15 @@
     response
 }
 
+/// Answers a request that a peer hands over. Returns `None` if its targets can't be reached from here
+/// either.
+pub(crate) async fn handle_for_peer(
+    host: Rc<Host>,
+    request: Request<Incoming>,
+) -> Option<Response<ReplyBody>> {
+    receive(host, request, true).await
+}
+
 /// Refuses a request that arrives too late in a planned stop. Its body is skipped, because requests
 /// behind it may have been read and need answers as well.
 async fn refuse_late(host: &Host, request: Request<Incoming>) -> Response<ReplyBody> {
@@ -201,14 +230,19 @@
     refusal_answer(refused, attempt)
 }
 
-/// Receives a request's body, admits the request and answers it.
-async fn receive(host: Rc<Host>, request: Request<Incoming>) -> Response<ReplyBody> {
+/// Receives a request's body, admits the request and answers it. Returns `None` for a request from a peer
+/// whose targets can't be reached.
+async fn receive(
+    host: Rc<Host>,
+    request: Request<Incoming>,
+    is_from_peer: bool,
+) -> Option<Response<ReplyBody>> {
     let received_at = boot_time();
     let (head, body) = request.into_parts();
     let request_head = read_head(&head.headers);
     let limit = body_limit(&host);
     if limit > 0 && body.size_hint().lower() > limit as u64 {
-        return with_close(refusal_for_code(ResultCode::TooLarge));
+        return Some(with_close(refusal_for_code(ResultCode::TooLarge)));
     }
     let body_timeout = request_head.time_left.map_or(BODY_TIMEOUT, |left| left.min(BODY_TIMEOUT));
     let number = host.next_request_number();
@@ -218,26 +252,27 @@
     let body = tokio::select! {
         body = reading => body,
         () = host.last_answer_due() => {
-            return with_close(refuse_while_stopping(request_head.attempt.as_ref()));
+            return Some(with_close(refuse_while_stopping(request_head.attempt.as_ref())));
         }
     };
     let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLong)) => {
-            return with_close(refusal_for_code(ResultCode::TooLarge));
+            return Some(with_close(refusal_for_code(ResultCode::TooLarge)));
         }
-        Ok(Err(BodyError::Broken)) => return with_close(refusal_for_code(ResultCode::BadRequest)),
-        Ok(Err(BodyError::Stalled)) => {
-            return with_close(refusal_for_code(ResultCode::CallerTimeout))
+        Ok(Err(BodyError::Broken)) => {
+            return Some(with_close(refusal_for_code(ResultCode::BadRequest)));
         }
         Ok(Err(BodyError::Evicted(error))) => {
             let buffered = host.request_buffers.usage().used.0;
             LogLine::new("body_unread").text("error", &error).with("buffered", buffered).info();
             let refused = Refusal::new(ResultCode::BuffersFull, "buffers are full");
             let refused = refused.after(FULL_RETRY_AFTER);
-            return with_close(refusal_answer(refused, request_head.attempt.as_ref()));
+            return Some(with_close(refusal_answer(refused, request_head.attempt.as_ref())));
+        }
+        Ok(Err(BodyError::Stalled)) | Err(_) => {
+            return Some(with_close(refusal_for_code(ResultCode::CallerTimeout)));
         }
-        Err(_) => return with_close(refusal_for_code(ResultCode::CallerTimeout)),
     };
     let attempt_id = request_head.attempt.as_ref().and_then(|value| value.to_str().ok());
     let attempt_id = attempt_id.unwrap_or_default().to_owned();
@@ -246,7 +281,7 @@
     wait_for_layout(&host, received_at + MAX_LAYOUT_WAIT.min(body_timeout)).await;
     // The body may have arrived long after the head.
     if !host.accepts_requests(boot_time()) {
-        return refuse_while_stopping(request_head.attempt.as_ref());
+        return Some(refuse_while_stopping(request_head.attempt.as_ref()));
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut arrival = Arrival {
@@ -300,7 +335,7 @@
                 .with("layout", host.dispatcher.borrow().version().0)
                 .info();
             host.metrics.count_refusal(refused.code.number());
-            return refusal_answer(refused, request_head.attempt.as_ref());
+            return Some(refusal_answer(refused, request_head.attempt.as_ref()));
         }
     };
     // Parsing can't fail: the path comes from a request that hyper has parsed.
@@ -323,6 +358,7 @@
         received_at,
         first_event_at: None,
         is_done: false,
+        is_from_peer,
     };
     let route = host.dispatcher.borrow().route_of(id).map(|route| route.name.clone());
     let parts = shared_parts(&arrival.parts);
@@ -338,6 +374,7 @@
         .text("digest", &digest)
         .with("parts", parts)
         .with("layout", host.dispatcher.borrow().version().0)
+        .with("is_from_peer", is_from_peer)
         .info();
     host.report_due.notify_one();
     respond(guard, forward).await
@@ -372,12 +409,16 @@
     Complete(CompleteAnswer),
     Stream(Box<OpenStream>),
     Refused(Refusal),
+    /// A peer's answer.
+    HandedOver(Response<ReplyBody>),
+    /// A peer's request whose targets can't be reached.
+    Declined,
 }
 
 /// Runs an admitted request and builds the answer to the client.
-async fn respond(mut guard: RequestGuard, forward: ForwardRequest) -> Response<ReplyBody> {
+async fn respond(mut guard: RequestGuard, forward: ForwardRequest) -> Option<Response<ReplyBody>> {
     let host = guard.host.clone();
-    match run_attempts(&mut guard, &forward, None).await {
+    let response = match run_attempts(&mut guard, &forward, None).await {
         RequestResult::Complete(answer) => {
             host.metrics.observe_answer_time(boot_time().since(guard.received_at));
             guard.log_line("answered").with("status", answer.status.as_u16()).info();
@@ -419,7 +460,10 @@
                 .info();
             refusal_answer(refused, forward.attempt_id.as_ref())
         }
-    }
+        RequestResult::HandedOver(response) => response,
+        RequestResult::Declined => return None,
+    };
+    Some(response)
 }
 
 /// Carries out the dispatcher's steps until a target answers or the request is refused.
@@ -436,6 +480,11 @@
         if !host.accepts_requests(boot_time()) {
             return withdraw(guard);
         }
+        if broken.is_none() && host.dispatcher.borrow().should_hand_over(id) {
+            if let Some(result) = hand_over(guard, forward).await {
+                return result;
+            }
+        }
         let step = host.dispatcher.borrow_mut().step(boot_time(), id);
         let dispatch = match step {
             Step::Send(dispatch) => dispatch,
@@ -530,6 +579,50 @@
     }
 }
 
+/// Hands a request to a daemon that reaches its targets. Returns `None` if this daemon should go on with
+/// the request itself.
+async fn hand_over(guard: &mut RequestGuard, forward: &ForwardRequest) -> Option<RequestResult> {
+    let (host, id) = (guard.host.clone(), guard.id);
+    if guard.is_from_peer {
+        guard.is_done = true;
+        host.dispatcher.borrow_mut().hand_over(boot_time(), id);
+        return Some(RequestResult::Declined);
+    }
+    let deadline = host.dispatcher.borrow().deadline(id)?;
+    let may_repeat = host.dispatcher.borrow().may_repeat(id);
+    let handover =
+        Handover { request: forward, attempt_id: &guard.attempt_id, deadline, may_repeat };
+    let end = tokio::select! {
+        end = handover::hand_over(&host, &handover) => end,
+        () = host.last_answer_due() => {
+            let code = ResultCode::OutcomeUnknown;
+            HandoverEnd::Unknown(Refusal::new(code, "the daemon stops"))
+        }
+    };
+    let now = boot_time();
+    match end {
+        HandoverEnd::Answered(response) => {
+            host.dispatcher.borrow_mut().hand_over(now, id);
+            guard.is_done = true;
+            host.metrics.count_handover();
+            Some(RequestResult::HandedOver(response))
+        }
+        HandoverEnd::Unknown(refused) => {
+            // The peer accounts for the request, if it has it.
+            host.dispatcher.borrow_mut().hand_over(now, id);
+            guard.is_done = true;
+            Some(RequestResult::Refused(refused))
+        }
+        HandoverEnd::Declined { is_final: false } => None,
+        HandoverEnd::Declined { is_final: true } => {
+            host.dispatcher.borrow_mut().hand_over(now, id);
+            guard.is_done = true;
+            let refused = Refusal::new(ResultCode::TargetUnreachable, "no host reaches a target");
+            Some(RequestResult::Refused(refused.after(UNREACHABLE_RETRY_AFTER)))
+        }
+    }
+}
+
 /// Ends a request that no target is running because the daemon stops.
 fn withdraw(guard: &mut RequestGuard) -> RequestResult {
     guard.is_done = true;
@@ -668,7 +761,10 @@
                 self.stream = Some(*stream);
                 true
             }
-            RequestResult::Complete(_) | RequestResult::Refused(_) => false,
+            RequestResult::Complete(_)
+            | RequestResult::Refused(_)
+            | RequestResult::HandedOver(_)
+            | RequestResult::Declined => false,
         }
     }
 }
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -22,9 +22,12 @@
 use crate::events::{continue_after, EventSplitter};
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
+use crate::path;
 
 /// How long connecting to a target may take; a live target accepts within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Least time limit after which a connection that isn't open counts as failed.
+const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Largest answer that is buffered before it is passed on.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Longest body of a refusal that is read so that its connection can be reused, and the time limit
@@ -119,7 +122,12 @@
         Some(conn) => conn,
         None => {
             let limit = CONNECT_TIMEOUT.min(dispatch.time_left);
-            match PooledConn::open(dispatch.address, limit).await {
+            let conn = PooledConn::open(dispatch.address, limit).await;
+            // A short limit says nothing about the target.
+            if conn.is_some() || limit >= MIN_CONNECT_TIMEOUT {
+                path::record_connection(host, &dispatch.target, conn.is_some());
+            }
+            match conn {
                 Some(conn) => conn,
                 None => return AttemptOutcome::End(AttemptEnd::NotSent),
             }
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -10,7 +10,8 @@
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
 use lead::{
-    LayoutFreshness, ListValidity, PeerBook, RelayView, SeatRoster, UnreadValues, ValueClass,
+    HelperBook, LayoutFreshness, ListValidity, PeerBook, RelayView, SeatRoster, UnreadValues,
+    ValueClass,
 };
 use node::{KeyValue, LeaseId};
 use origin::OriginBook;
@@ -88,6 +89,12 @@
     pub(crate) registered_hosts: RefCell<SeatRoster>,
     /// Addresses of the registered daemons, this one included.
     pub(crate) peer_book: RefCell<PeerBook>,
+    /// What is known of other daemons that carry requests whose targets this one can't reach.
+    pub(crate) helper_book: RefCell<HelperBook>,
+    /// Services whose targets should be probed, since a connection to one has failed.
+    pub(crate) doubted_paths: RefCell<Vec<Name>>,
+    /// Notified when a service was added to these.
+    pub(crate) path_doubted: Notify,
     /// `Some` while this daemon leads.
     pub(crate) leader_state: RefCell<Option<LeaderState>>,
     /// Lease of the term in which this daemon leads.
@@ -168,6 +175,9 @@
             leader_entry: RefCell::default(),
             registered_hosts: RefCell::default(),
             peer_book: RefCell::default(),
+            helper_book: RefCell::default(),
+            doubted_paths: RefCell::default(),
+            path_doubted: Notify::new(),
             leader_state: RefCell::default(),
             term_lease: Cell::new(None),
             known_revision: Cell::new(Revision(0)),
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -2,6 +2,7 @@
 //! store can't.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -244,6 +245,17 @@
     }
 }
 
+/// Gets a newer layout from a daemon that is known to have one.
+pub(crate) async fn fetch_from(host: Rc<Host>, address: SocketAddr) {
+    let known = host.layout_item.borrow().as_ref().map(|item| item.revision);
+    let Some(revision) = known.map(|known| Revision(known.0 + 1)) else { return };
+    let limit = host.layout_freshness.get().peer_timeout();
+    if let Some(value) = peer::fetch_layout_from(&host, address, revision, limit).await {
+        let key = LAYOUT_KEY.to_owned();
+        apply_checked(&host, &KeyValue { key, value, revision }, LayoutSource::Peer);
+    }
+}
+
 /// Applies a layout that a check has found. Returns whether it is new.
 fn apply_checked(host: &Host, item: &KeyValue, source: LayoutSource) -> bool {
     host.unread_values.borrow_mut().resolve(LAYOUT_KEY, item.revision);
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -18,6 +18,7 @@
     registry: Registry,
     answers: Family<Labels, Counter>,
     refusals: Family<Labels, Counter>,
+    handovers: Counter,
     attempt_ends: Family<Labels, Counter>,
     first_byte_time: Histogram,
     answer_time: Histogram,
@@ -87,6 +88,7 @@
         let metrics = Metrics {
             answers: Family::default(),
             refusals: Family::default(),
+            handovers: Counter::default(),
             attempt_ends: Family::default(),
             first_byte_time: time_histogram(),
             answer_time: time_histogram(),
@@ -118,6 +120,11 @@
         };
         registry.register("answers", "Answers by status", metrics.answers.clone());
         registry.register("refusals", "Refusals by result code", metrics.refusals.clone());
+        registry.register(
+            "handovers",
+            "Requests that other daemons carried",
+            metrics.handovers.clone(),
+        );
         registry.register(
             "attempts",
             "Attempts on targets by their end",
@@ -232,6 +239,10 @@
         self.refusals.get_or_create(&[("code", code.to_string())]).inc();
     }
 
+    pub(crate) fn count_handover(&self) {
+        self.handovers.inc();
+    }
+
     pub(crate) fn count_attempt_end(&self, end: &'static str) {
         self.attempt_ends.get_or_create(&[("end", end.to_owned())]).inc();
     }
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -26,6 +26,7 @@
 use crate::answer::{full_body, ReplyBody};
 use crate::conn::{CallLimits, ConnError, PooledConn};
 use crate::exchange::{log_limit, MAX_IDLE_TIME};
+use crate::handover;
 use crate::host::{sleep_until, Host, RelayedBatch};
 use crate::layout;
 use crate::logging::LogLine;
@@ -320,6 +321,9 @@
 
 /// Answers a request from a peer.
 pub(crate) async fn serve_peer(host: Rc<Host>, request: Request<Incoming>) -> Response<ReplyBody> {
+    if handover::is_handed_over(request.headers()) {
+        return handover::serve(host, request).await;
+    }
     let path = request.uri().path().to_owned();
     let buffer = host.control_buffers.open(BufferOwner::Request(host.next_request_number()));
     let body = match read_body(request.into_body(), MAX_MESSAGE_BYTES, buffer).await {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -25,7 +25,7 @@
 use crate::logging::{init_logging, LogLine};
 use crate::metrics::Metrics;
 use crate::{
-    caller, conn, election, evidence, follow, layout, orders, origins, peer, FrontSettings,
+    caller, conn, election, evidence, follow, layout, orders, origins, path, peer, FrontSettings,
 };
 
 /// How long a new connection may wait for its first request while the daemon stops. Clients send it
@@ -80,6 +80,7 @@
         .info();
     spawn_local(follow::follow(host.clone()));
     spawn_local(layout::keep_current(host.clone()));
+    spawn_local(path::keep_probing(host.clone()));
     spawn_local(origins::write_records(host.clone()));
     spawn_local(origins::keep_mixes(host.clone()));
     spawn_local(election::maintain_registration(host.clone()));
