Decide by failure domain whether the path to a service is cut

A path now counts as cut when a target of every failure domain, and two of the daemon's own, can't be connected to.

--- a/crates/front/src/dispatcher/paths.rs
+++ b/crates/front/src/dispatcher/paths.rs
@@ -2,12 +2,20 @@
 
 use std::net::SocketAddr;
 
-use base::{Name, TargetName, Time};
+use base::{DomainName, Name, SortedMap, TargetName, Time};
 use fleet::TargetPhase;
 
 use super::RequestDispatcher;
 use crate::path::ServicePaths;
 use crate::request::RequestStage;
+use crate::targets::TargetState;
+
+/// Number of targets of the daemon's own failure domain that must be out of reach, if there are as many,
+/// before the path to their service counts as cut. Of each other domain it is one.
+const OWN_TARGETS: usize = 2;
+
+/// Number of targets that are probed when a target near them has refused a connection.
+const NEAR_TARGETS: usize = 3;
 
 impl RequestDispatcher {
     /// Returns the paths to the services.
@@ -35,31 +43,89 @@
     /// counts as cut from now on.
     pub fn record_unreached(&mut self, now: Time, target: &TargetName) -> Option<Name> {
         let service = self.targets.entry(target)?.service.clone();
-        let is_ready = |phase: TargetPhase| phase == TargetPhase::Ready;
-        let of_service = self.targets.all_of_service(&service);
-        let listed = of_service.filter(|state| is_ready(state.entry.phase)).count();
-        let is_cut = self.paths.record_failure(now, &service, target, listed.max(1));
+        let counts = self.count_domains(&service);
+        let targets = &self.targets;
+        let domain_of = |name: &TargetName| targets.entry(name).map(|entry| &entry.domain);
+        let own = &self.config.domain;
+        // Targets of the daemon's own domain are the last that a cut between domains takes away.
+        let needed = |domain: &DomainName, count: usize| match domain == own {
+            true => count.min(OWN_TARGETS),
+            false => 1,
+        };
+        let are_enough = |failed: &[TargetName]| {
+            counts.iter().all(|(domain, count)| {
+                let of_domain = failed.iter().filter(|name| domain_of(name) == Some(domain));
+                of_domain.count() >= needed(domain, *count)
+            })
+        };
+        let is_cut = self.paths.record_failure(now, &service, target, are_enough);
         is_cut.then_some(service)
     }
 
-    /// Returns up to `count` targets of a service, chosen at random, to find out whether any can be
-    /// reached. Those whose connections have failed come last.
-    pub fn probe_targets(&mut self, service: &Name, count: usize) -> Vec<(TargetName, SocketAddr)> {
+    /// Returns the number of ready targets of a service by failure domain.
+    fn count_domains(&self, service: &Name) -> SortedMap<DomainName, usize> {
+        let mut counts = SortedMap::default();
+        for state in self.ready_targets(service) {
+            *counts.entry(state.entry.domain.clone(), || 0) += 1;
+        }
+        counts
+    }
+
+    fn ready_targets<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a TargetState> {
         let of_service = self.targets.all_of_service(service);
-        let ready = of_service.filter(|state| state.entry.phase == TargetPhase::Ready);
-        let mut drawn: Vec<_> = ready
-            .map(|state| {
-                let name = &state.entry.name;
-                let has_failed = self.paths.has_failed(service, name);
-                (has_failed, name.clone(), state.entry.address)
-            })
-            .collect();
-        // A random rotation instead of a shuffle: names are in no order that matters.
-        let first = (self.chooser.random_fraction() * drawn.len() as f64) as usize;
+        of_service.filter(|state| state.entry.phase == TargetPhase::Ready)
+    }
+
+    /// Returns targets of a service whose connections show whether the path to it is cut: some of each
+    /// failure domain, chosen at random among those that have not failed.
+    pub fn targets_in_doubt(&mut self, service: &Name) -> Vec<(TargetName, SocketAddr)> {
+        let drawn = self.draw_targets(service);
+        let mut taken: SortedMap<DomainName, usize> = SortedMap::default();
+        let mut chosen = Vec::new();
+        for (has_failed, name, address, domain) in drawn {
+            let most = if domain == self.config.domain { OWN_TARGETS } else { 1 };
+            let count = taken.entry(domain, || 0);
+            if !has_failed && *count < most {
+                *count += 1;
+                chosen.push((name, address));
+            }
+        }
+        chosen
+    }
+
+    /// Returns some other targets of a target's service and failure domain, or of its service if there are
+    /// none.
+    pub fn targets_near(&mut self, target: &TargetName) -> Vec<(TargetName, SocketAddr)> {
+        let Some(entry) = self.targets.entry(target) else { return Vec::new() };
+        let (service, domain) = (entry.service.clone(), entry.domain.clone());
+        let mut others = self.draw_targets(&service);
+        others.retain(|(_, name, ..)| name != target);
+        others.sort_by_key(|(.., other_domain)| *other_domain != domain);
+        let has_neighbours = others.first().is_some_and(|(.., first)| *first == domain);
+        let near = others.into_iter().filter(|(.., other)| !has_neighbours || *other == domain);
+        near.map(|(_, name, address, _)| (name, address)).take(NEAR_TARGETS).collect()
+    }
+
+    /// Returns one target of a service, chosen at random.
+    pub fn probe_target(&mut self, service: &Name) -> Option<(TargetName, SocketAddr)> {
+        let drawn = self.draw_targets(service).into_iter();
+        drawn.map(|(_, name, address, _)| (name, address)).next()
+    }
+
+    /// Returns the ready targets of a service, beginning with a random one, and whether each has failed.
+    fn draw_targets(&mut self, service: &Name) -> Vec<(bool, TargetName, SocketAddr, DomainName)> {
+        let random = self.chooser.random_fraction();
+        let ready = self.ready_targets(service).map(|state| {
+            let entry = &state.entry;
+            let has_failed = self.paths.has_failed(service, &entry.name);
+            (has_failed, entry.name.clone(), entry.address, entry.domain.clone())
+        });
+        let mut drawn: Vec<_> = ready.collect();
+        // A rotation instead of a shuffle: names are in no order that matters.
+        let first = (random * drawn.len() as f64) as usize;
         let length = drawn.len().max(1);
         drawn.rotate_left(first % length);
-        drawn.sort_by_key(|(has_failed, ..)| *has_failed);
-        drawn.into_iter().take(count).map(|(_, name, address)| (name, address)).collect()
+        drawn
     }
 
     /// Returns whether another daemon should carry a request: the path to its service is cut, and no
@@ -73,11 +139,6 @@
         })
     }
 
-    /// Returns the service of a request.
-    pub fn service_of(&self, id: u64) -> Option<&Name> {
-        self.requests.get(&id).map(|request| &request.service)
-    }
-
     /// Returns whether another daemon may be asked again to carry a request after one was lost that had
     /// it.
     pub fn may_repeat(&self, id: u64) -> bool {
--- a/crates/front/src/path.rs
+++ b/crates/front/src/path.rs
@@ -4,8 +4,6 @@
 
 use base::{Name, SortedMap, TargetName, Time};
 
-/// Number of targets of a service that must be out of reach before the path to it counts as cut.
-const CUT_TARGETS: usize = 3;
 /// How long a failed connection counts as evidence of a cut.
 const EVIDENCE_SPAN: Duration = Duration::from_secs(3);
 /// Pause between two probes of a service whose path is cut.
@@ -25,9 +23,10 @@
 
 /// The paths from this daemon to the targets of each service.
 ///
-/// One target that can't be reached has failed; when several can't, and no connection has succeeded
-/// meanwhile, this daemon is probably cut off from the service, or the whole service is down. Only
-/// another daemon can tell which, so requests should be handed to one that reaches the service.
+/// One target that can't be reached has failed, and several of one failure domain are cut off with it. When
+/// targets of every domain can't be reached, and no connection has succeeded meanwhile, this daemon is
+/// probably cut off from the service, or the whole service is down. Only another daemon can tell
+/// which, so requests should be handed to one that reaches the service.
 ///
 /// # Example
 ///
@@ -38,10 +37,9 @@
 /// let at = |ms| Time::from_millis(ms);
 /// let service = "desk".parse()?;
 /// let mut paths = ServicePaths::default();
-/// for (ms, target) in [(0, "a"), (10, "b")] {
-///     assert!(!paths.record_failure(at(ms), &service, &target.parse()?, 18));
-/// }
-/// assert!(paths.record_failure(at(20), &service, &"c".parse()?, 18), "the third in a row");
+/// let needed = |failed: &[base::TargetName]| failed.len() >= 2;
+/// assert!(!paths.record_failure(at(0), &service, &"a".parse()?, needed));
+/// assert!(paths.record_failure(at(20), &service, &"b".parse()?, needed), "the second in a row");
 /// assert!(paths.is_cut(&service));
 /// assert!(paths.record_success(at(900), &service));
 /// assert!(!paths.is_cut(&service));
@@ -62,19 +60,20 @@
         state.cut_since.take().is_some()
     }
 
-    /// Records that a target could not be connected to. `listed` is the number of targets of the service.
-    /// Returns whether its path counts as cut from now on.
+    /// Records that a target could not be connected to. `are_enough` decides whether the targets that have
+    /// failed show that the path is cut. Returns whether it counts as cut from now on.
     pub fn record_failure(
         &mut self,
         now: Time,
         service: &Name,
         target: &TargetName,
-        listed: usize,
+        are_enough: impl Fn(&[TargetName]) -> bool,
     ) -> bool {
         let state = self.states.entry(service.clone(), PathState::default);
         state.failed.retain(|_, at| now.since(*at) < EVIDENCE_SPAN);
         state.failed.insert(target.clone(), now);
-        let is_new = state.cut_since.is_none() && state.failed.len() >= CUT_TARGETS.min(listed);
+        let failed: Vec<TargetName> = state.failed.keys().cloned().collect();
+        let is_new = state.cut_since.is_none() && are_enough(&failed);
         if is_new {
             state.cut_since = Some(now);
             state.probed_at = Some(now);
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -95,7 +95,7 @@
             self.log_line("crash_unchecked").text("digest", &self.digest).info();
             return end;
         };
-        if !is_refused(address, CRASH_CHECK_TIMEOUT).await || self.is_path_cut().await {
+        if !is_refused(address, CRASH_CHECK_TIMEOUT).await || self.is_cut_off().await {
             self.log_line("crash_excluded").text("digest", &self.digest).info();
             return end;
         }
@@ -110,16 +110,14 @@
         AttemptEnd::Crashed
     }
 
-    /// Returns whether this daemon reaches no other target of the request's service either, so that the
-    /// refused connection says nothing about the target.
-    async fn is_path_cut(&self) -> bool {
+    /// Returns whether this daemon reaches no target near the request's either, so that the refused
+    /// connection says nothing about that one.
+    async fn is_cut_off(&self) -> bool {
         let running =
             self.host.dispatcher.borrow().running_on(self.id).map(|(name, _)| name.clone());
         let Some(target) = running else { return false };
         path::record_connection(&self.host, &target, false);
-        let service = self.host.dispatcher.borrow().service_of(self.id).cloned();
-        let Some(service) = service else { return false };
-        path::has_only_failures(&self.host, &service).await
+        path::is_cut_off(&self.host, &target).await
     }
 
     /// Records how the current attempt ended and returns what to do next.
--- a/crates/serve/src/path.rs
+++ b/crates/serve/src/path.rs
@@ -1,5 +1,6 @@
 //! Finds out whether this daemon is cut off from the targets of a service.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,8 +12,6 @@
 use crate::host::{sleep_until, Host, MAX_LOOP_PAUSE};
 use crate::logging::LogLine;
 
-/// Number of targets that are probed at once when a connection has failed.
-const PROBED_TARGETS: usize = 4;
 /// Time limit of a probe; a live target accepts within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// A service to which a connection succeeded within this time isn't probed.
@@ -65,12 +64,14 @@
     loop {
         let doubted = std::mem::take(&mut *host.doubted_paths.borrow_mut());
         for service in doubted {
-            probe(&host, &service, PROBED_TARGETS).await;
+            let targets = host.dispatcher.borrow_mut().targets_in_doubt(&service);
+            probe(&host, targets).await;
         }
         let now = boot_time();
         let due = host.dispatcher.borrow_mut().paths_mut().begin_probes(now);
         for service in due {
-            probe(&host, &service, 1).await;
+            let target = host.dispatcher.borrow_mut().probe_target(&service);
+            probe(&host, target).await;
         }
         let next = host.dispatcher.borrow().paths().next_probe();
         let next = next.unwrap_or(now + MAX_LOOP_PAUSE).min(now + MAX_LOOP_PAUSE);
@@ -81,9 +82,8 @@
     }
 }
 
-/// Connects to some targets of a service. Returns whether any could be reached.
-pub(crate) async fn probe(host: &Host, service: &Name, count: usize) -> bool {
-    let targets = host.dispatcher.borrow_mut().probe_targets(service, count);
+/// Connects to targets. Returns whether any could be reached.
+async fn probe(host: &Host, targets: impl IntoIterator<Item = (TargetName, SocketAddr)>) -> bool {
     let probes = targets.into_iter().map(|(target, address)| async move {
         let conn = PooledConn::open(address, PROBE_TIMEOUT).await;
         let is_reached = conn.is_some();
@@ -96,20 +96,11 @@
     join_all(probes).await.contains(&true)
 }
 
-/// Returns whether none of some targets of a service can be reached, though there are several.
-pub(crate) async fn has_only_failures(host: &Host, service: &Name) -> bool {
-    let now = boot_time();
-    let (is_cut, was_reached, others) = {
-        let mut dispatcher = host.dispatcher.borrow_mut();
-        let others = dispatcher.probe_targets(service, PROBED_TARGETS).len();
-        let paths = dispatcher.paths();
-        (paths.is_cut(service), paths.was_reached(now, service, REACHED_SPAN), others)
-    };
-    // The one that was refused is among them.
-    if is_cut || was_reached || others < 2 {
-        return is_cut;
-    }
-    !probe(host, service, PROBED_TARGETS).await
+/// Returns whether this daemon reaches no target near one that has refused a connection, so that it is
+/// cut off from them rather than this one has ended.
+pub(crate) async fn is_cut_off(host: &Host, target: &TargetName) -> bool {
+    let neighbours = host.dispatcher.borrow_mut().targets_near(target);
+    !neighbours.is_empty() && !probe(host, neighbours).await
 }
 
 /// Drops the idle connections to a service's targets, which can't be used any more or may be dead.
