--- a/crates/mangodeal/tests/cut_daemon.rs
+++ b/crates/mangodeal/tests/cut_daemon.rs
@@ -3,12 +3,13 @@
 mod common;
 mod platform_fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use common::run;
+use common::{eventually, run};
 use mangodeal::client::HttpAnswer;
 use platform_fleet::{
-    last_event_id, model_request, read_events, read_text, request, PlatformFleet, ServerLink,
+    last_event_id, model_request, read_events, read_text, request, FrontProcess, PlatformFleet,
+    ServerLink,
 };
 
 /// Time after which a cut daemon's clients must be served as well as others.
@@ -84,3 +85,118 @@
         assert_eq!(served_in_cut(ServerLink::silence).await, (3 * REQUESTS, 3 * REQUESTS));
     });
 }
+
+/// Cuts the second daemon's links and waits until it knows.
+async fn cut_off(fleet: &mut PlatformFleet) {
+    fleet.links.iter_mut().for_each(ServerLink::refuse);
+    let front = &fleet.fronts[1];
+    eventually(STABLE_TIME, "the daemon knows that it is cut off", || async {
+        let _ = request(front.caller, "/safe/x", "find-out", 2_000).send().await;
+        let _ = model_request(front.caller, "find-out-too", "a").send().await;
+        front.log().iter().filter(|line| line["event"] == "path_cut").count() >= 2
+    })
+    .await;
+}
+
+/// Guards against a request that runs twice, or is said not to have run, because the daemon that carries it
+/// ends.
+#[test]
+fn lost_helper() {
+    run(async {
+        let mut fleet = start_fleet().await;
+        cut_off(&mut fleet).await;
+        for server in ["orders-1", "orders-2"] {
+            fleet.server(server).set_run_time(Duration::from_millis(400));
+        }
+        let call = request(fleet.fronts[1].caller, "/unsafe/x", "lost", 2_000);
+        let call = tokio::spawn(call.send());
+        eventually(Duration::from_secs(2), "the request runs", || async {
+            fleet.runs("lost") == 1
+        })
+        .await;
+        fleet.fronts[0].kill();
+        let answer = call.await.unwrap().unwrap();
+        assert!(answer.status == 502 || answer.status == 504, "{}", answer.status);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(fleet.runs("lost"), 1);
+    });
+}
+
+/// Guards against a target that goes on with a request whose client has left the daemon that handed the
+/// request over.
+#[test]
+fn client_gone() {
+    run(async {
+        let mut fleet = start_fleet().await;
+        cut_off(&mut fleet).await;
+        for server in ["orders-1", "orders-2"] {
+            fleet.server(server).set_run_time(Duration::from_secs(5));
+        }
+        let call = tokio::spawn(request(fleet.fronts[1].caller, "/safe/x", "gone", 9_000).send());
+        eventually(Duration::from_secs(2), "the request runs", || async {
+            fleet.runs("gone") == 1
+        })
+        .await;
+        call.abort();
+        let has_left = |front: &FrontProcess| {
+            let is_gone = |line: &serde_json::Value| {
+                line["event"] == "caller_gone" && line["request"] == "gone"
+            };
+            front.log().iter().any(is_gone)
+        };
+        eventually(Duration::from_millis(500), "both daemons know", || async {
+            fleet.fronts.iter().all(has_left)
+        })
+        .await;
+    });
+}
+
+/// Guards against requests that daemons hand to each other while none of them reaches a target.
+#[test]
+fn all_cut() {
+    run(async {
+        let mut fleet = PlatformFleet::start(0).await;
+        fleet.add_linked_front().await;
+        fleet.add_linked_front().await;
+        cut_off(&mut fleet).await;
+        for front in &fleet.fronts {
+            let _ = request(front.caller, "/unsafe/x", "find-out", 2_000).send().await;
+        }
+        for (number, front) in fleet.fronts.iter().enumerate() {
+            let begun_at = Instant::now();
+            let call = request(front.caller, "/unsafe/x", &format!("cut-{number}"), 2_000);
+            let answer = call.send().await.unwrap();
+            assert_eq!(answer.status, 503);
+            assert!(answer.header("retry-after").is_some());
+            assert!(begun_at.elapsed() < Duration::from_millis(200), "{:?}", begun_at.elapsed());
+        }
+        let handed_over = |front: &&FrontProcess| {
+            front.log().iter().any(|line| line["event"] == "handed_over" && line["status"] == 200)
+        };
+        assert_eq!(fleet.fronts.iter().filter(handed_over).count(), 0);
+    });
+}
+
+/// Guards against a team that is charged twice for a request that another daemon carries.
+#[test]
+fn charged_once() {
+    run(async {
+        let mut fleet = start_fleet().await;
+        cut_off(&mut fleet).await;
+        let charges = |front: &FrontProcess, attempt: &str| {
+            let is_charge = |line: &serde_json::Value| {
+                line["event"] == "admitted" && line["request"] == attempt
+            };
+            front.log().iter().filter(|line| is_charge(line)).count()
+        };
+        let answer = request(fleet.fronts[1].caller, "/unsafe/x", "once", 2_000).send().await;
+        assert_eq!(answer.unwrap().status, 200);
+        assert_eq!(fleet.runs("once"), 1);
+        // Both admit the request; only the daemon that carries it sends it.
+        assert_eq!(fleet.fronts.iter().map(|front| charges(front, "once")).sum::<usize>(), 2);
+        let is_sent =
+            |line: &serde_json::Value| line["event"] == "sent" && line["request"] == "once";
+        assert!(!fleet.fronts[1].log().iter().any(is_sent));
+        assert!(fleet.fronts[0].log().iter().any(is_sent));
+    });
+}
