Check the layout at the pace of a silent leader until it is heard again

Only the first unanswered report after a relayed change made a daemon check its layout at a quarter of the bound; the check itself confirmed the layout, and the next one followed at half of it (1.5 s of 3), with up to 1.5 s for the check itself: late when both come together. Every unanswered report counts now.

--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -119,9 +119,7 @@
 /// have expired; it does so at once if this daemon can lead any fleet, and so should be the next
 /// leader.
 fn record_leader_silence(host: &Host) {
-    if host.relay_view.get().fresh_until(boot_time()).is_some() {
-        layout::record_silence(host);
-    }
+    layout::record_silence(host);
     let heard_at = host.dispatcher.borrow().last_leader().1;
     let lease = if host.can_lead_any_fleet() { Duration::ZERO } else { host.settings.lease };
     let mut view = host.relay_view.get();
