End the term of a leader that can't reach the engines

Cause: the lease of the leader key is with the store, which the leader reaches; nothing compared that with the engines. A leader whose path to a service with engines has been cut for 1.5 s now ends its term if another daemon has reported requests there within a second, and daemons that are cut off claim 2 s later than others. If nobody reaches the engines, the term stays.

--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -150,6 +150,8 @@
     /// Usual slowdowns of targets. A service is uneven if one of its targets has one.
     /// The shortest gap that the stream routes of each service accept.
     accepted_gaps: SortedMap<Name, Duration>,
+    /// When another daemon last reported requests on targets of a service.
+    reached: SortedMap<Name, Time>,
     /// Time of the first report in this term.
     first_report_at: Option<Time>,
     requests: RequestTable,
@@ -195,6 +197,7 @@
             initial_replicas: SortedMap::default(),
             demand: DemandTable::default(),
             accepted_gaps: SortedMap::default(),
+            reached: SortedMap::default(),
             first_report_at: None,
             requests: RequestTable::default(),
             seats: SeatTable::default(),
@@ -460,6 +463,23 @@
         specs.into_iter().find_map(|spec| Some((spec, spec.models.get(name)?)))
     }
 
+    /// Returns when another daemon last reported requests on targets of a service, which it therefore
+    /// seems to reach.
+    pub fn reached_at(&self, service: &Name) -> Option<Time> {
+        self.reached.get(service).copied()
+    }
+
+    fn record_reached(&mut self, now: Time, report: &SyncReport) {
+        if report.host == self.config.host {
+            return;
+        }
+        for run in &report.runs {
+            if let Some(record) = self.targets.get(&run.target) {
+                self.reached.insert(record.entry.service.clone(), now);
+            }
+        }
+    }
+
     /// Processes a daemon's report and returns the reply.
     pub fn handle_sync(&mut self, now: Time, report: &SyncReport) -> SyncReply {
         let numbers = (report.number, report.acknowledged);
@@ -467,6 +487,7 @@
         self.demand.record_report(now, &report.host, &report.demand);
         self.requests.record_report(now, &report.host, &report.runs);
         self.first_report_at.get_or_insert(now);
+        self.record_reached(now, report);
         for (target, slowdown) in &report.slowdowns {
             self.slowdowns.record(&report.host, target, *slowdown);
         }
--- a/crates/mangodeal/tests/cut_daemon.rs
+++ b/crates/mangodeal/tests/cut_daemon.rs
@@ -192,3 +192,35 @@
         assert!(fleet.fronts[0].log().iter().any(is_sent));
     });
 }
+
+/// Guards against models that nobody loads while the leader can't reach the engines.
+#[test]
+fn cut_leader() {
+    run(async {
+        let mut fleet = PlatformFleet::start(0).await;
+        fleet.add_linked_front().await;
+        let leads = |front: &FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
+        eventually(Duration::from_secs(5), "the first daemon leads", || async {
+            leads(&fleet.fronts[0])
+        })
+        .await;
+        fleet.add_fronts(2).await;
+        fleet.links.iter_mut().for_each(ServerLink::refuse);
+        let (leader, other) = (fleet.fronts[0].caller, fleet.fronts[1].caller);
+        let begun_at = Instant::now();
+        let mut number = 0;
+        // Requests for models that are loaded go on at all daemons.
+        while !fleet.fronts[1..].iter().any(leads) {
+            assert!(begun_at.elapsed() < Duration::from_secs(5), "nobody else leads");
+            number += 1;
+            for (front, name) in [(leader, "leader"), (other, "other")] {
+                let call = model_request(front, &format!("{name}-{number}"), "a");
+                if let Ok(answer) = call.send().await {
+                    let _ = read_events(answer).await;
+                }
+            }
+        }
+        let answer = model_request(other, "cold", "c").send().await.unwrap();
+        assert_eq!(answer.status, 200, "the model is loaded");
+    });
+}
--- a/crates/serve/src/election.rs
+++ b/crates/serve/src/election.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Revision, StoreEra};
+use base::{Revision, StoreEra, Time};
 use daemon::{boot_time, wall_ms};
 use lead::{Leader, LeaderConfig, LeaderTerm};
 use node::{KeyValue, LeaseId, StoreTxn};
@@ -56,6 +56,15 @@
 /// Targets that departed earlier are no longer listed in the store.
 const DEPARTURE_WINDOW: Duration = Duration::from_secs(60);
 
+/// A leader that can't reach the engines ends its term after this time, if another daemon has reported
+/// requests on them within `REACHED_SPAN`. Connections that hang at the beginning of a cut are still
+/// reported as such requests.
+const YIELD_SPAN: Duration = Duration::from_millis(1_500);
+const REACHED_SPAN: Duration = Duration::from_millis(1_000);
+
+/// A daemon that can't reach the engines delays a claim by this time.
+const CUT_DELAY: Duration = Duration::from_millis(2_000);
+
 /// The value of the leader key.
 #[derive(Serialize, Deserialize)]
 struct LeaderRecord {
@@ -125,6 +134,10 @@
                     if let Some(state) = host.leader_state.borrow_mut().as_mut() {
                         state.leader.renew_lease(asked_at + span);
                     }
+                    if should_yield_term(&host, boot_time()) {
+                        end_term(&host, "can't reach the engines").await;
+                        continue;
+                    }
                 }
                 Ok(RenewalReply::Ended) => {
                     LogLine::new("lease_lost").info();
@@ -164,7 +177,25 @@
     let jitter = Duration::from_millis(rand::random::<u64>() % CLAIM_JITTER_MS);
     let has_low_cpu = host.settings.cpu_share < LOW_CPU_SHARE;
     let low_cpu_delay = if has_low_cpu { LOW_CPU_DELAY } else { Duration::ZERO };
-    CPU_SHARE_DELAY.mul_f64(missing_share) + low_cpu_delay + jitter
+    let cut_delay = if engine_cut(host).is_some() { CUT_DELAY } else { Duration::ZERO };
+    CPU_SHARE_DELAY.mul_f64(missing_share) + low_cpu_delay + cut_delay + jitter
+}
+
+/// Returns the first service with engines that this daemon can't reach, and since when.
+fn engine_cut(host: &Host) -> Option<(base::Name, Time)> {
+    let dispatcher = host.dispatcher.borrow();
+    let layout = dispatcher.layout()?;
+    let has_engines = |name: &base::Name| layout.service(name).is_some_and(|s| s.engine.is_some());
+    let mut cut = dispatcher.paths().cut_services().filter(|(name, _)| has_engines(name));
+    cut.next().map(|(name, since)| (name.clone(), since))
+}
+
+/// Returns whether another daemon should lead: this one can't reach the engines, and others can.
+fn should_yield_term(host: &Host, now: Time) -> bool {
+    let Some((service, since)) = engine_cut(host) else { return false };
+    let state = host.leader_state.borrow();
+    let reached_at = state.as_ref().and_then(|state| state.leader.reached_at(&service));
+    now.since(since) >= YIELD_SPAN && reached_at.is_some_and(|at| now.since(at) < REACHED_SPAN)
 }
 
 /// Writes the daemon's registration under a new lease. Returns `None` if the store refuses it.
@@ -193,6 +224,8 @@
     let own_host = host.settings.host.clone();
     let expected = match &current {
         None => Revision(0),
+        // The term that this daemon has just ended may still be listed.
+        Some(_) if engine_cut(host).is_some() => return None,
         Some(entry) if entry.host == own_host => entry.fence,
         Some(_) => return None,
     };
@@ -291,12 +324,12 @@
 
 /// Ends this daemon's term and revokes its lease, so that the next leader need not wait for it to
 /// expire.
-pub(crate) async fn end_term(host: &Host) {
+pub(crate) async fn end_term(host: &Host, reason: &'static str) {
     let Some(lease) = host.term_lease.take().filter(|_| host.leader_state.borrow().is_some())
     else {
         return;
     };
-    resign(host, "stopping");
+    resign(host, reason);
     if let Err(error) = host.store.revoke_lease(lease).await {
         LogLine::new("lease_unsure").text("error", &error).info();
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -151,7 +151,7 @@
         }
     }
     // Ending the term lets another daemon lead at once.
-    let _ = tokio::time::timeout(RESIGN_TIMEOUT, election::end_term(host)).await;
+    let _ = tokio::time::timeout(RESIGN_TIMEOUT, election::end_term(host, "stopping")).await;
     LogLine::new("stopped").with("open", host.dispatcher.borrow().open_count()).info();
     // Gives the log's writer thread time to write the last lines.
     tokio::time::sleep(Duration::from_millis(10)).await;
