Take an answer without a layout version as declined

A daemon of an earlier version answers a request that is handed over like a message that it can't read: 503 without headers, which the client would have got while versions are mixed. It counts as declined now, and the next daemon is asked. No test has two versions.

--- a/crates/serve/src/handover.rs
+++ b/crates/serve/src/handover.rs
@@ -97,10 +97,9 @@
         }
         match ask_peer(host, address, handover).await {
             Ok((response, conn)) => {
-                let declined = response.headers().get(DECLINED);
-                if let Some(reason) = declined {
+                if let Some(reason) = decline_reason(response.headers()) {
                     is_final &= reason == DeclineReason::Path.name();
-                    log_declined(address, handover, reason.to_str().unwrap_or_default());
+                    log_declined(address, handover, &reason);
                     host.helper_book.borrow_mut().record_declined(boot_time(), address);
                     let _ = response.into_body().collect().await;
                     host.conn_pool.borrow_mut().put(boot_time(), address, conn);
@@ -131,6 +130,16 @@
     HandoverEnd::Declined { is_final }
 }
 
+/// Returns why a peer has declined a request, from its answer. A daemon of a version that knows no handovers
+/// takes the request for a message that it can't read.
+fn decline_reason(answer: &HeaderMap) -> Option<String> {
+    match answer.get(DECLINED) {
+        Some(reason) => Some(reason.to_str().unwrap_or_default().to_owned()),
+        None if !answer.contains_key(LAYOUT) => Some("earlier version".to_owned()),
+        None => None,
+    }
+}
+
 fn log_declined(address: SocketAddr, handover: &Handover<'_>, reason: &str) {
     LogLine::new("handover_declined")
         .with("request", handover.attempt_id)
