Don't take a path for cut while no target of its service is ready

Without ready targets the condition on each failure domain held for none, so that one failed connection to a leaving target counted as a cut until another target joined. Found by reading; leaving_targets fails without the condition.

--- a/crates/front/src/dispatcher/paths.rs
+++ b/crates/front/src/dispatcher/paths.rs
@@ -47,16 +47,17 @@
         let targets = &self.targets;
         let domain_of = |name: &TargetName| targets.entry(name).map(|entry| &entry.domain);
         let own = &self.config.domain;
-        // Targets of the daemon's own domain are the last that a cut between domains takes away.
         let needed = |domain: &DomainName, count: usize| match domain == own {
             true => count.min(OWN_TARGETS),
             false => 1,
         };
+        let is_missed = |failed: &[TargetName], domain: &DomainName, count: usize| {
+            let of_domain = failed.iter().filter(|name| domain_of(name) == Some(domain));
+            of_domain.count() >= needed(domain, count)
+        };
         let are_enough = |failed: &[TargetName]| {
-            counts.iter().all(|(domain, count)| {
-                let of_domain = failed.iter().filter(|name| domain_of(name) == Some(domain));
-                of_domain.count() >= needed(domain, *count)
-            })
+            let mut domains = counts.iter();
+            !counts.is_empty() && domains.all(|(domain, count)| is_missed(failed, domain, *count))
         };
         let is_cut = self.paths.record_failure(now, &service, target, are_enough);
         is_cut.then_some(service)
--- a/crates/front/tests/cut_paths.rs
+++ b/crates/front/tests/cut_paths.rs
@@ -25,6 +25,15 @@
     assert!(dispatcher.should_hand_over(id));
 }
 
+/// Guards against a path that counts as cut because all targets of its service are leaving.
+#[test]
+fn leaving_targets() {
+    let all = [target_names("a"), target_names("b"), target_names("c")].concat();
+    let mut dispatcher = dispatcher();
+    assert!(all.iter().all(|name| dispatcher.record_leaving(at(50), name)));
+    assert_eq!(fail_all(&mut dispatcher, 100, &all), None);
+}
+
 /// Evidence from another time doesn't count, and one success outweighs it.
 #[test]
 fn old_failures() {
--- a/crates/serve/src/handover.rs
+++ b/crates/serve/src/handover.rs
@@ -172,7 +172,7 @@
     }
 }
 
-/// A peer's answer on its way to the client.
+/// A peer's answer that is passed on to the client.
 struct RelayedAnswer {
     host: Rc<Host>,
     address: SocketAddr,
