--- a/crates/mangodeal/tests/cut_uploads.rs
+++ b/crates/mangodeal/tests/cut_uploads.rs
@@ -103,6 +103,7 @@
     run(async {
         for status in ["000 None", "099 None"] {
             let answers = complete_answers(status, Duration::ZERO).await;
+            assert!(!answers.is_empty());
             assert!(answers.iter().all(|(status, _)| (500..600).contains(status)), "{answers:?}");
         }
     });
--- a/crates/mangodeal/tests/mixed_versions.rs
+++ b/crates/mangodeal/tests/mixed_versions.rs
@@ -239,6 +239,7 @@
                 if is_suspended {
                     fleet.fronts[late].resume();
                 }
+                let mut went_on = 0;
                 // At once after its return, and with a list that may be older than the new version.
                 for number in 0..6 {
                     let second = format!("{attempt}-{number}");
@@ -246,11 +247,13 @@
                     if answer.status != 200 {
                         continue;
                     }
+                    went_on += 1;
                     let (rest, _) = read_events(answer).await;
                     let text = begun.clone() + &rest;
                     assert!(!has_two_versions(&text), "{second}: {text}");
                 }
                 if is_suspended {
+                    assert!(went_on > 0, "{attempt}: none went on");
                     fleet.fronts[late].suspend();
                 }
             }
