Say in logs and metrics which daemons hold an older layout than their leader

Reports to the leader and its replies now state the version of the sender's layout (an optional field that earlier builds ignore and don't send). A daemon writes layout_behind, with the time since when it has known of an unread version, or null if it knows of none; the leader writes layouts_behind with their number; both after half of the bound and every 5 s from then on. Gauges layout_behind_ms and layouts_behind. layout_unread names revision, source and size of the value.

No decision depends on it.

--- a/crates/fleet/src/layout.rs
+++ b/crates/fleet/src/layout.rs
@@ -6,9 +6,12 @@
 
 use base::{ByteSize, KeyHash, ModelName, Name, ParseError, SortedMap, TeamName, TokenCount};
 use limit::ColdSpec;
+use serde::{Deserialize, Serialize};
 
 /// The version of a layout. Later versions have larger numbers; numbers may be skipped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct LayoutVersion(pub u64);
 
 impl fmt::Display for LayoutVersion {
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -6,7 +6,9 @@
 use limit::{ColdStatement, LimitStatement, PermitDenial, PermitUse};
 use serde::{Deserialize, Serialize};
 
-use crate::{ChangeBatch, ModelRef, SoftwareVersion, TargetDeparture, TargetSlowdown};
+use crate::{
+    ChangeBatch, LayoutVersion, ModelRef, SoftwareVersion, TargetDeparture, TargetSlowdown,
+};
 
 /// A model that requests wait for, and the software version of the targets that may serve them.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -148,6 +150,9 @@
     pub cold: Vec<ColdStatement>,
     /// Needed amounts, by team.
     pub draws: Vec<TeamDraw>,
+    /// Version of the daemon's layout; `None` before it has one, and in reports of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layout: Option<LayoutVersion>,
 }
 
 /// A part of a team's allowance that a daemon may spend for a short time.
@@ -220,6 +225,9 @@
     pub cold: Vec<ColdStatement>,
     /// Store changes that the daemon lacks, if the leader has all of them.
     pub changes: Option<ChangeBatch>,
+    /// Version of the leader's layout; `None` before it has one, and in replies of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layout: Option<LayoutVersion>,
 }
 
 /// A request to the leader to load an adapter on a target.
--- a/crates/front/src/dispatcher/sync.rs
+++ b/crates/front/src/dispatcher/sync.rs
@@ -74,6 +74,7 @@
             limits: self.report_limits(now),
             slowdowns: self.targets.take_slowdowns(MAX_SLOWDOWNS),
             cold: self.report_cold(now),
+            layout: self.layout.as_ref().map(|layout| layout.version()),
         }
     }
 
--- a/crates/front/tests/cold_targets.rs
+++ b/crates/front/tests/cold_targets.rs
@@ -212,6 +212,7 @@
         limits: Vec::new(),
         cold: vec![statement],
         changes: None,
+        layout: None,
     };
     daemon.apply_reply(at(100), at(90), &reply);
     // The entry was written before the target became cold.
--- a/crates/front/tests/prefill_schedule.rs
+++ b/crates/front/tests/prefill_schedule.rs
@@ -122,6 +122,7 @@
         limits: Vec::new(),
         cold: Vec::new(),
         changes: None,
+        layout: None,
     };
     dispatcher.apply_reply(now, now, &reply);
 }
--- a/crates/front/tests/stream_versions.rs
+++ b/crates/front/tests/stream_versions.rs
@@ -204,6 +204,7 @@
         limits: Vec::new(),
         cold: Vec::new(),
         changes: None,
+        layout: None,
     }
 }
 
--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -555,6 +555,7 @@
             limits,
             cold,
             changes: self.changes.since(now, report.known),
+            layout: self.layout.as_ref().map(|layout| layout.version()),
         }
     }
 
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -36,6 +36,7 @@
 mod config;
 mod demand;
 mod helpers;
+mod lag;
 mod layout;
 mod leader;
 mod peers;
@@ -53,6 +54,7 @@
 
 pub use config::{LeaderConfig, LeaderTerm};
 pub use helpers::HelperBook;
+pub use lag::{LayoutCensus, LayoutLag, LayoutStragglers};
 pub use layout::LayoutFreshness;
 pub use leader::{
     AdapterState, Leader, LeaderAction, LeaderEvent, LoadBacklog, LoadDecision, LoadResult,
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -134,6 +134,7 @@
         slowdowns: Vec::new(),
         cold: Vec::new(),
         draws: Vec::new(),
+        layout: None,
     }
 }
 
--- a/crates/serve/src/election.rs
+++ b/crates/serve/src/election.rs
@@ -6,7 +6,7 @@
 
 use base::{Revision, StoreEra, Time};
 use daemon::{boot_time, wall_ms};
-use lead::{Leader, LeaderConfig, LeaderTerm};
+use lead::{LayoutCensus, Leader, LeaderConfig, LeaderTerm};
 use node::{KeyValue, LeaseId, StoreTxn};
 use platform::store::{RenewalReply, TxnReply};
 use serde::{Deserialize, Serialize};
@@ -304,7 +304,8 @@
         .with("fence", fence.0)
         .with("orders_in_ms", orders_from.since(now).as_millis() as u64)
         .info();
-    *host.leader_state.borrow_mut() = Some(LeaderState { leader });
+    *host.leader_state.borrow_mut() =
+        Some(LeaderState { leader, layouts: LayoutCensus::default() });
     *host.leader_entry.borrow_mut() = parse_leader(&value, fence);
     update_leader_targets(host);
     update_registered_hosts(host);
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -10,8 +10,8 @@
 use fleet::ChangeBatch;
 use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
 use lead::{
-    HelperBook, LayoutFreshness, ListValidity, PeerBook, RelayView, SeatRoster, UnreadValues,
-    ValueClass,
+    HelperBook, LayoutFreshness, LayoutLag, ListValidity, PeerBook, RelayView, SeatRoster,
+    UnreadValues, ValueClass,
 };
 use node::{KeyValue, LeaseId};
 use origin::OriginBook;
@@ -111,6 +111,8 @@
     pub(crate) layout_item: RefCell<Option<KeyValue>>,
     /// How recently the layout was known to be the latest one.
     pub(crate) layout_freshness: Cell<LayoutFreshness>,
+    /// Whether the layout in force is the latest one that other daemons have.
+    pub(crate) layout_lag: Cell<LayoutLag>,
     /// Notified when a check of the layout may be due earlier than before.
     pub(crate) layout_check_due: Notify,
     /// Time up to which all changes of the store have been applied, except values that were left out.
@@ -186,6 +188,7 @@
             unread_values: RefCell::new(UnreadValues::new(settings.watch_pause)),
             layout_item: RefCell::default(),
             layout_freshness: Cell::new(LayoutFreshness::new(settings.apply)),
+            layout_lag: Cell::new(LayoutLag::new(settings.apply)),
             layout_check_due: Notify::new(),
             changes_at: Cell::new(Time::ZERO),
             origin_book: RefCell::default(),
@@ -242,6 +245,8 @@
             layout_version: dispatcher.version().0,
             layout_unread: unread.unread_since(ValueClass::Layout).map(|at| boot_time().since(at)),
             layout_age: self.layout_freshness.get().age(boot_time()),
+            layout_behind: self.layout_lag.get().behind(boot_time()),
+            layouts_behind: self.count_stragglers(boot_time()),
             unread_values: unread.count(),
             resident_bytes: resident_bytes(),
             request_buffers: self.request_buffers.usage(),
@@ -249,6 +254,13 @@
         })
     }
 
+    /// Returns how many daemons have an older layout than this one, while it leads.
+    fn count_stragglers(&self, now: Time) -> usize {
+        let state = self.leader_state.borrow();
+        let late = state.as_ref().and_then(|state| state.layouts.stragglers(now, Duration::ZERO));
+        late.map_or(0, |stragglers| stragglers.daemons)
+    }
+
     /// Records that all changes of the store up to the time `at` have been applied, except values that
     /// were left out.
     pub(crate) fn confirm_changes(&self, at: Time) {
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -9,7 +9,7 @@
 
 use base::{Revision, Time};
 use daemon::boot_time;
-use fleet::ColdSetting;
+use fleet::{ColdSetting, LayoutVersion, SyncReport};
 use futures::stream::{FuturesUnordered, StreamExt};
 use lead::ValueClass;
 use node::{KeyEvent, KeyValue};
@@ -20,7 +20,7 @@
 use crate::follow::NO_WAIT;
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
-use crate::orders;
+use crate::orders::{self, LeaderState};
 use crate::peer;
 use crate::store::StoreError;
 
@@ -69,7 +69,12 @@
     let layout = match read_layout(&item.value) {
         Ok(layout) => Arc::new(layout),
         Err(error) => {
-            LogLine::new("layout_unread").text("error", &error).warn();
+            LogLine::new("layout_unread")
+                .with("revision", item.revision.number())
+                .with("source", source.name())
+                .with("bytes", item.value.len())
+                .text("error", &error)
+                .warn();
             return false;
         }
     };
@@ -83,6 +88,10 @@
     if let Some(state) = host.leader_state.borrow_mut().as_mut() {
         state.leader.apply_layout(now, layout);
     }
+    let mut lag = host.layout_lag.get();
+    let behind = lag.behind(now);
+    lag.record_in_force(version);
+    host.layout_lag.set(lag);
     let age = host.layout_freshness.get().age(now);
     LogLine::new("layout_taken")
         .with("version", version.0)
@@ -90,6 +99,7 @@
         .with("source", source.name())
         .with("bytes", item.value.len())
         .with("age_ms", age.map(|age| age.as_millis() as u64))
+        .with("behind_ms", behind.map(|behind| behind.as_millis() as u64))
         .with("allowances", team_allowances(host))
         .info();
     true
@@ -100,6 +110,39 @@
     host.layout_item.borrow().as_ref().is_some_and(|item| item.revision >= revision)
 }
 
+/// Records the version that the leader has, and logs from time to time that it isn't in force here.
+pub(crate) fn record_known_version(host: &Host, version: LayoutVersion) {
+    let (now, in_force) = (boot_time(), host.dispatcher.borrow().version());
+    let mut lag = host.layout_lag.get();
+    lag.record_known(now, version, in_force);
+    if let Some((latest, behind)) = lag.take_report(now) {
+        let unread = host.unread_values.borrow().unread_since(ValueClass::Layout);
+        LogLine::new("layout_behind")
+            .with("version", in_force.0)
+            .with("latest", latest.0)
+            .with("behind_ms", behind.as_millis() as u64)
+            .with("unread_ms", unread.map(|at| now.since(at).as_millis() as u64))
+            .warn();
+    }
+    host.layout_lag.set(lag);
+}
+
+/// Records the version that a daemon states in its report to this leader, and logs from time to time
+/// which ones have an older one.
+pub(crate) fn record_stated_version(host: &Host, state: &mut LeaderState, report: &SyncReport) {
+    let (now, in_force) = (boot_time(), host.dispatcher.borrow().version());
+    let Some(version) = report.layout else { return };
+    state.layouts.record(now, &report.host, version, in_force);
+    if let Some(stragglers) = state.layouts.take_report(now, host.settings.apply) {
+        LogLine::new("layouts_behind")
+            .with("daemons", stragglers.daemons)
+            .with("oldest", stragglers.oldest.0)
+            .with("latest", in_force.0)
+            .with("longest_ms", stragglers.longest.as_millis() as u64)
+            .warn();
+    }
+}
+
 /// Records that the leader left a report unanswered on whose changes the daemon relies.
 pub(crate) fn record_silence(host: &Host) {
     let mut freshness = host.layout_freshness.get();
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -42,6 +42,8 @@
     layout_version: Gauge<u64, AtomicU64>,
     layout_unread_ms: Gauge<u64, AtomicU64>,
     layout_age_ms: Gauge<u64, AtomicU64>,
+    layout_behind_ms: Gauge<u64, AtomicU64>,
+    layouts_behind: Gauge<i64>,
     unread_values: Gauge<i64>,
     resident_bytes: Gauge<u64, AtomicU64>,
     buffered_bytes: Family<Labels, Gauge<u64, AtomicU64>>,
@@ -74,6 +76,10 @@
     pub(crate) layout_unread: Option<Duration>,
     /// Time since when a newer layout may exist.
     pub(crate) layout_age: Option<Duration>,
+    /// Time since when another daemon is known to have a newer layout.
+    pub(crate) layout_behind: Option<Duration>,
+    /// Number of daemons whose layout is older, at the leader.
+    pub(crate) layouts_behind: usize,
     pub(crate) unread_values: usize,
     pub(crate) resident_bytes: u64,
     pub(crate) request_buffers: PoolUsage,
@@ -112,6 +118,8 @@
             layout_version: Gauge::default(),
             layout_unread_ms: Gauge::default(),
             layout_age_ms: Gauge::default(),
+            layout_behind_ms: Gauge::default(),
+            layouts_behind: Gauge::default(),
             unread_values: Gauge::default(),
             resident_bytes: Gauge::default(),
             buffered_bytes: Family::default(),
@@ -208,6 +216,16 @@
             "Time since when a newer configuration may exist",
             metrics.layout_age_ms.clone(),
         );
+        registry.register(
+            "layout_behind_ms",
+            "Time since when another daemon is known to have a newer configuration",
+            metrics.layout_behind_ms.clone(),
+        );
+        registry.register(
+            "layouts_behind",
+            "Daemons with an older configuration than this one, at the leader",
+            metrics.layouts_behind.clone(),
+        );
         registry.register(
             "unread_values",
             "Values that the leader doesn't relay and that are unread",
@@ -280,6 +298,8 @@
         self.layout_version.set(readings.layout_version);
         self.layout_unread_ms.set(to_millis(readings.layout_unread.unwrap_or_default()));
         self.layout_age_ms.set(to_millis(readings.layout_age.unwrap_or_default()));
+        self.layout_behind_ms.set(to_millis(readings.layout_behind.unwrap_or_default()));
+        self.layouts_behind.set(to_count(readings.layouts_behind));
         self.unread_values.set(to_count(readings.unread_values));
         self.resident_bytes.set(readings.resident_bytes);
         let pools = [("requests", readings.request_buffers), ("control", readings.control_buffers)];
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -6,7 +6,7 @@
 use base::TargetName;
 use daemon::boot_time;
 use fleet::{EngineOrder, OrderReply, TargetEntry};
-use lead::{Leader, LeaderAction, LeaderEvent};
+use lead::{LayoutCensus, Leader, LeaderAction, LeaderEvent};
 use limit::RequestRate;
 use platform::engine::{instance_header, order_call, order_reply, report_call, report_reply};
 use platform::request::read_notice;
@@ -29,6 +29,8 @@
 /// State that exists only while this daemon leads.
 pub(crate) struct LeaderState {
     pub(crate) leader: Leader,
+    /// Layouts that the daemons state in their reports.
+    pub(crate) layouts: LayoutCensus,
 }
 
 /// Passes the current list of targets and the evacuated domains to the leader state, if this daemon
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -95,6 +95,9 @@
             LogLine::new(event).with("leader", leader.unwrap_or_default()).info();
         }
         if let Some(reply) = reply {
+            if let Some(version) = reply.layout {
+                layout::record_known_version(&host, version);
+            }
             let mut dispatcher = host.dispatcher.borrow_mut();
             for target in dispatcher.apply_reply(now, asked_at, &reply) {
                 log_limit(&dispatcher, &target, "leader");
@@ -140,8 +143,9 @@
 /// Applies a daemon's report and returns the reply, or `None` if this daemon doesn't lead.
 fn apply_report(host: &Host, report: &SyncReport) -> Option<SyncReply> {
     let mut state = host.leader_state.borrow_mut();
-    let leader = &mut state.as_mut()?.leader;
-    let reply = leader.handle_sync(boot_time(), report);
+    let state = state.as_mut()?;
+    layout::record_stated_version(host, state, report);
+    let reply = state.leader.handle_sync(boot_time(), report);
     host.plan_due.notify_one();
     Some(reply)
 }
