Give all daemons of a test fleet one link from the store

Each daemon's proxy stood before the store itself, so that a test could narrow the link of one daemon but not the store's own, which all daemons share. The proxies now go through one more FaultProxy, PlatformFleet::store_link, which has no limit unless a test sets one. The fleets with large configurations move from late_layout.rs to a module, for a second file of tests; wide_config takes the number of routes.

--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -1,13 +1,14 @@
 //! Configurations that the leader doesn't relay, because they are large.
 
 mod common;
+mod layout_fleet;
 mod platform_fleet;
 
 use std::time::{Duration, Instant};
 
-use common::{eventually, run};
-use mangodeal::client::HttpCall;
-use platform_fleet::platform_standin::{config, StoreMode};
+use common::run;
+use layout_fleet::{large_config, start_fleet, start_fleet_with, version_of, wide_config};
+use platform_fleet::platform_standin::StoreMode;
 use platform_fleet::{FrontProcess, PlatformFleet};
 
 /// Time within which a configuration must be in force at all hosts.
@@ -22,57 +23,6 @@
 /// Size of a host's record. The leader relays smaller ones.
 const RECORD_BYTES: usize = 6_000;
 
-/// Model names that make a configuration larger than what the leader relays.
-fn many_models() -> Vec<String> {
-    (0..60).map(|number| format!("model-{number:04}")).collect()
-}
-
-fn large_config(version: u64) -> serde_json::Value {
-    let models = many_models();
-    config(version, &models.iter().map(String::as_str).collect::<Vec<_>>())
-}
-
-/// Returns a configuration with many routes.
-fn wide_config(version: u64) -> serde_json::Value {
-    let mut layout = large_config(version);
-    let routes = layout["routes"].as_array_mut().unwrap();
-    let route = routes[0].clone();
-    routes.extend((0..WIDE_ROUTES).map(|number| {
-        let mut route = route.clone();
-        route["name"] = format!("wide-{number}").into();
-        route["prefix"] = format!("/wide/{number}/").into();
-        route
-    }));
-    layout
-}
-
-async fn start_fleet(daemons: usize) -> PlatformFleet {
-    start_fleet_with(daemons, |settings| settings).await
-}
-
-async fn start_fleet_with(daemons: usize, change_settings: fn(String) -> String) -> PlatformFleet {
-    let models = many_models();
-    let names: Vec<&str> = models.iter().map(String::as_str).collect();
-    let fleet = PlatformFleet::start_with_settings(daemons, &names, &[], change_settings).await;
-    eventually(Duration::from_secs(8), "all follow the leader", || async {
-        let follows = |front: &FrontProcess| {
-            front.log().iter().any(|line| line["event"] == "leads" || line["source"] == "leader")
-        };
-        fleet.fronts.iter().all(follows)
-    })
-    .await;
-    fleet
-}
-
-/// Returns the configuration in force at a daemon.
-async fn version_of(front: &FrontProcess) -> Option<u64> {
-    let answer = HttpCall::get(front.metrics, "/metrics").send().await.ok()?;
-    let bytes = answer.bytes().await.ok()?;
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let line = text.lines().find_map(|line| line.strip_prefix("mangodeal_layout_version "))?;
-    line.parse().ok()
-}
-
 /// Writes configurations and returns, for each, the hosts at which it came into force too late.
 async fn late_hosts(fleet: &PlatformFleet) -> Vec<(u64, String)> {
     let mut late = Vec::new();
@@ -203,7 +153,7 @@
         let leads = |front: &&FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
         let leader = fleet.fronts.iter().find(leads).unwrap();
         let follower = fleet.fronts.iter().find(|front| !leads(front)).unwrap();
-        let layout = wide_config(10);
+        let layout = wide_config(10, WIDE_ROUTES);
         // The link carries the configuration in seven eighths of a second.
         follower.store.set_rate(layout.to_string().len() as u64 * 4 / 3 * 8 / 7);
         leader.suspend();
--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -86,6 +86,8 @@
 /// Daemon processes, the store and the servers.
 pub struct PlatformFleet {
     pub store: StandinStore,
+    /// Link of the store, which the proxies of all daemons share.
+    pub store_link: FaultProxy,
     pub servers: Vec<StandinServer>,
     pub fronts: Vec<FrontProcess>,
     /// Links of the daemons that were started with [`PlatformFleet::add_linked_front`].
@@ -127,11 +129,13 @@
         change_settings: fn(String) -> String,
     ) -> PlatformFleet {
         let store = StandinStore::start().await;
+        let store_link = FaultProxy::start(store.address()).await.unwrap();
         let name = format!("mangodeal-platform-{}-{}", std::process::id(), free_port());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).unwrap();
         let mut fleet = PlatformFleet {
             store,
+            store_link,
             servers: Vec::new(),
             fronts: Vec::new(),
             links: Vec::new(),
@@ -238,7 +242,7 @@
     }
 
     async fn add_front(&mut self, number: usize, change_settings: fn(String) -> String) {
-        self.add_front_at(self.store.address(), number, change_settings).await;
+        self.add_front_at(self.store_link.address(), number, change_settings).await;
     }
 
     async fn add_front_at(
