Count a daemon's layout as read only if it can't be older than the one in force

A daemon that reached neither the store nor a leader with recent changes kept the old configuration for good, although the leader had the new one and answered, once another daemon had answered its question with something that can't be read or is older.

Cause: `apply_layout` recorded a value under its revision before it was parsed, and the callers resolved the unread value whatever came of it. The answer of a daemon carries no revision of its own and is kept under the known one + 1 (or under the noted one). So a wrong answer hid the true value at that revision (`has_read`), raised the revision that is asked for next beyond what the leader has, so that the leader declined, and was passed on to others that asked. The first answer also ended the question, so that a wrong one displaced a right one.

`LayoutVerdict` (mango-lead, without I/O) decides by sender and version what a value proves. The answer of a daemon counts if it is readable and not older than the layout in force; otherwise the next answer is awaited and the value stays unread. A value of the store that can't be read still counts as read, because reading it again gives the same, but it is no longer kept in place of the last readable one.

--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -9,7 +9,7 @@
 use daemon::boot_time;
 use evacuate::{EvacuationChanges, EvacuationTable};
 use fleet::{StoreChange, TargetEntry, TargetHoldings};
-use lead::{ReadPlan, StoreRead, ValueClass, ValueRead};
+use lead::{LayoutVerdict, ReadPlan, StoreRead, ValueClass, ValueRead};
 use limit::ColdNotice;
 use node::{KeyEvent, KeyValue};
 use platform::document::{
@@ -297,7 +297,6 @@
     ) {
         let now = boot_time();
         let found = item.as_ref().map(|item| item.revision);
-        self.host.unread_values.borrow_mut().finish_read(now, read, found);
         if read.class != ValueClass::Evidence {
             LogLine::new("value_read")
                 .with("key", read.key.as_str())
@@ -306,10 +305,17 @@
                 .with("source", source.name())
                 .info();
         }
-        let is_relevant = item.is_some_and(|item| match read.class {
-            ValueClass::Layout => apply_layout(&self.host, &item, source),
-            ValueClass::Target | ValueClass::Evidence => self.apply_event(now, KeyEvent::Put(item)),
-        });
+        let layout = item.as_ref().filter(|_| read.class == ValueClass::Layout);
+        let verdict = layout.map(|item| apply_layout(&self.host, item, source));
+        if verdict.is_some_and(|verdict| !verdict.is_read()) {
+            return;
+        }
+        self.host.unread_values.borrow_mut().finish_read(now, read, found);
+        let is_relevant = match (verdict, item) {
+            (Some(verdict), _) => verdict == LayoutVerdict::Newer,
+            (None, Some(item)) => self.apply_event(now, KeyEvent::Put(item)),
+            (None, None) => false,
+        };
         if is_relevant {
             self.notify_changed();
         }
@@ -461,7 +467,7 @@
         let key = key_of(&event).to_owned();
         match event {
             KeyEvent::Put(item) if key == LAYOUT_KEY => {
-                apply_layout(&self.host, &item, LayoutSource::Change)
+                apply_layout(&self.host, &item, LayoutSource::Change) == LayoutVerdict::Newer
             }
             event if key.starts_with(TARGET_PREFIX) => self.apply_target(now, &key, event),
             event if key.starts_with(DAEMON_PREFIX) => self.apply_daemon_key(&key, event),
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -9,9 +9,9 @@
 
 use base::{Revision, Time};
 use daemon::boot_time;
-use fleet::ColdSetting;
+use fleet::{ColdSetting, FleetLayout};
 use futures::stream::{FuturesUnordered, StreamExt};
-use lead::ValueClass;
+use lead::{LayoutSender, LayoutVerdict, ValueClass};
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, LAYOUT_KEY};
 use platform::store::WatchReply;
@@ -58,28 +58,50 @@
             LayoutSource::Peer => "peer",
         }
     }
+
+    fn sender(self) -> LayoutSender {
+        match self {
+            // The leader relays values of the store.
+            LayoutSource::Snapshot | LayoutSource::Change | LayoutSource::Read => {
+                LayoutSender::Store
+            }
+            LayoutSource::Leader | LayoutSource::Peer => LayoutSender::Daemon,
+        }
+    }
 }
 
-/// Applies a layout, unless it is malformed or older than the present one. Returns whether it was
-/// applied.
-pub(crate) fn apply_layout(host: &Host, item: &KeyValue, source: LayoutSource) -> bool {
-    if !has_read(host, item.revision) {
+/// Applies a layout if it is newer than the present one, and returns what it was.
+pub(crate) fn apply_layout(host: &Host, item: &KeyValue, source: LayoutSource) -> LayoutVerdict {
+    let layout = read_layout(&item.value);
+    let in_force = host.dispatcher.borrow().layout().map(|layout| layout.version());
+    let found = layout.as_ref().ok().map(FleetLayout::version);
+    let verdict = LayoutVerdict::of(source.sender(), in_force, found);
+    if verdict.is_relayed() && !has_read(host, item.revision) {
         host.layout_item.borrow_mut().replace(item.clone());
     }
-    let layout = match read_layout(&item.value) {
-        Ok(layout) => Arc::new(layout),
-        Err(error) => {
-            LogLine::new("layout_unread").text("error", &error).warn();
-            return false;
-        }
-    };
+    match layout {
+        Ok(layout) if verdict == LayoutVerdict::Newer => put_in_force(host, layout, item, source),
+        Ok(_) if verdict.is_read() => {}
+        Ok(layout) => LogLine::new("layout_rejected")
+            .with("version", layout.version().0)
+            .with("source", source.name())
+            .info(),
+        Err(error) => LogLine::new("layout_unread")
+            .text("error", &error)
+            .with("revision", item.revision.number())
+            .with("source", source.name())
+            .warn(),
+    }
+    verdict
+}
+
+fn put_in_force(host: &Host, layout: FleetLayout, item: &KeyValue, source: LayoutSource) {
+    let layout = Arc::new(layout);
     for service in layout.services().filter(|s| s.cold == ColdSetting::Malformed) {
         log_ignored_cold("service", &service.name);
     }
     let (now, version) = (boot_time(), layout.version());
-    if !host.dispatcher.borrow_mut().apply_layout(now, layout.clone()) {
-        return false;
-    }
+    host.dispatcher.borrow_mut().apply_layout(now, layout.clone());
     if let Some(state) = host.leader_state.borrow_mut().as_mut() {
         state.leader.apply_layout(now, layout);
     }
@@ -92,7 +114,6 @@
         .with("age_ms", age.map(|age| age.as_millis() as u64))
         .with("allowances", team_allowances(host))
         .info();
-    true
 }
 
 /// Returns whether the layout was read at this revision or a later one.
@@ -185,9 +206,9 @@
                 KeyEvent::Put(item) if item.key == LAYOUT_KEY => Some(item),
                 KeyEvent::Put(_) | KeyEvent::Deleted(..) => None,
             });
-            let is_new = latest.is_some_and(|item| apply_checked(host, &item, LayoutSource::Read));
+            let verdict = latest.map(|item| apply_checked(host, &item, LayoutSource::Read));
             confirm_layout(host, asked_at);
-            return Ok(is_new);
+            return Ok(verdict == Some(LayoutVerdict::Newer));
         }
     }
     let asked_at = boot_time();
@@ -217,9 +238,9 @@
     if item.is_err() && steps.peers.is_none() {
         ask_peers(host).await;
     }
-    let is_new = item?.is_some_and(|item| apply_checked(host, &item, LayoutSource::Read));
+    let verdict = item?.map(|item| apply_checked(host, &item, LayoutSource::Read));
     confirm_layout(host, asked_at);
-    Ok(is_new)
+    Ok(verdict == Some(LayoutVerdict::Newer))
 }
 
 /// Returns the size of an answer with one change of the layout. An answer with several repeats the whole
@@ -237,11 +258,13 @@
     let peers = host.peer_book.borrow().draw(own, rand::random(), PEERS_PER_CHECK);
     let limit = host.layout_freshness.get().peer_timeout();
     let ask = |address| peer::fetch_layout_from(host, address, revision, limit);
-    let asked: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
-    let newer = std::pin::pin!(asked.filter_map(|value| async { value }));
-    if let (Some(value), _) = newer.into_future().await {
-        let key = LAYOUT_KEY.to_owned();
-        apply_checked(host, &KeyValue { key, value, revision }, LayoutSource::Peer);
+    let mut asked: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
+    while let Some(answer) = asked.next().await {
+        let Some(value) = answer else { continue };
+        let item = KeyValue { key: LAYOUT_KEY.to_owned(), value, revision };
+        if apply_checked(host, &item, LayoutSource::Peer).is_read() {
+            break;
+        }
     }
 }
 
@@ -256,15 +279,17 @@
     }
 }
 
-/// Applies a layout that a check has found. Returns whether it is new.
-fn apply_checked(host: &Host, item: &KeyValue, source: LayoutSource) -> bool {
-    host.unread_values.borrow_mut().resolve(LAYOUT_KEY, item.revision);
-    let is_new = apply_layout(host, item, source);
-    if is_new {
+/// Applies a layout that a check has found, and returns what it was.
+fn apply_checked(host: &Host, item: &KeyValue, source: LayoutSource) -> LayoutVerdict {
+    let verdict = apply_layout(host, item, source);
+    if verdict.is_read() {
+        host.unread_values.borrow_mut().resolve(LAYOUT_KEY, item.revision);
+    }
+    if verdict == LayoutVerdict::Newer {
         orders::update_leader_targets(host);
         host.state_changed.notify_waiters();
     }
-    is_new
+    verdict
 }
 
 /// Records that the daemon has all changes of the store up to the time `at`.
