Stop a daemon when one of its tasks panics, instead of going on without it

A panic in one of the tasks that `serve` starts ended that task only. The runtime keeps a panic for whoever joins the task, and nobody did: the daemon stayed ready and answered requests by the configuration that it had. Without the follower and the layout checks, that is for good.

The tasks now belong to a `TaskGroup` (mango-daemon). When one ends, the daemon logs `task_ended` with its name and the panic's message, stops as after SIGTERM, so that open requests are answered and the term is ended, and exits with an error. The platform starts it again. A deterministic panic now shows as exits in a row, where it was silent before.

No panic in these tasks is known.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod reader;
 mod run;
 mod settings;
+mod tasks;
 
 pub use clock::{boot_time, wall_ms};
 pub use logging::{init_log, LogError};
@@ -37,3 +38,4 @@
 };
 pub use run::{Daemon, StartError};
 pub use settings::{LogFormat, Settings};
+pub use tasks::{TaskEnd, TaskGroup};
--- a/crates/serve/src/logging.rs
+++ b/crates/serve/src/logging.rs
@@ -44,6 +44,10 @@
         self.log(Level::Warn);
     }
 
+    pub(crate) fn error(self) {
+        self.log(Level::Error);
+    }
+
     fn log(self, level: Level) {
         log::log!(target: "trail", level, "{}", Value::Object(self.fields));
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daemon::boot_time;
+use daemon::{boot_time, TaskEnd, TaskGroup};
 use drain::serve_connection;
 use front::StopSchedule;
 use hyper::body::Incoming;
@@ -49,6 +49,9 @@
     /// The runtime or a signal handler can't be set up.
     #[error("can't start: {0}")]
     Start(#[from] std::io::Error),
+    /// A task ended without which the daemon can't go on.
+    #[error(transparent)]
+    Task(#[from] TaskEnd),
 }
 
 /// Runs a daemon until SIGTERM or SIGINT. At SIGHUP it reads its settings from `file` again: the
@@ -56,7 +59,8 @@
 ///
 /// # Errors
 ///
-/// Fails when an address is taken or the runtime can't be set up.
+/// Fails when an address is taken, when the runtime can't be set up, or after a planned stop because a task
+/// has panicked that must run for as long as the daemon.
 pub fn run(settings: FrontSettings, file: &Path) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
@@ -78,40 +82,51 @@
         .text("domain", &host.settings.domain)
         .with("incarnation", host.incarnation)
         .info();
-    spawn_local(follow::follow(host.clone()));
-    spawn_local(layout::keep_current(host.clone()));
-    spawn_local(path::keep_probing(host.clone()));
-    spawn_local(origins::write_records(host.clone()));
-    spawn_local(origins::keep_mixes(host.clone()));
-    spawn_local(election::maintain_registration(host.clone()));
-    spawn_local(election::run_election(host.clone()));
-    spawn_local(peer::run_sync_loop(host.clone()));
-    spawn_local(orders::run_plan_loop(host.clone()));
-    spawn_local(evidence::maintain_evidence(host.clone()));
-    spawn_local(expire_idle_conns(host.clone()));
+    let mut tasks = TaskGroup::default();
+    tasks.spawn_local("follow", follow::follow(host.clone()));
+    tasks.spawn_local("layout_checks", layout::keep_current(host.clone()));
+    tasks.spawn_local("path_probes", path::keep_probing(host.clone()));
+    tasks.spawn_local("origin_records", origins::write_records(host.clone()));
+    tasks.spawn_local("origin_mixes", origins::keep_mixes(host.clone()));
+    tasks.spawn_local("registration", election::maintain_registration(host.clone()));
+    tasks.spawn_local("election", election::run_election(host.clone()));
+    tasks.spawn_local("reports", peer::run_sync_loop(host.clone()));
+    tasks.spawn_local("plan", orders::run_plan_loop(host.clone()));
+    tasks.spawn_local("evidence", evidence::maintain_evidence(host.clone()));
+    tasks.spawn_local("idle_conns", expire_idle_conns(host.clone()));
     let (stop, stopped) = watch::channel(false);
     let open_conns = Rc::new(Cell::new(0));
-    spawn_local(accept_conns(
+    let callers = accept_conns(
         host.clone(),
         caller_listener,
         caller::handle,
         Some(stopped),
         open_conns.clone(),
-    ));
+    );
+    tasks.spawn_local("callers", callers);
     // Peers and probes are answered until the process exits.
-    spawn_local(accept_conns(host.clone(), peer_listener, peer::serve_peer, None, Rc::default()));
-    for listener in [ready_listener, metrics_listener] {
-        spawn_local(accept_conns(host.clone(), listener, serve_probe, None, Rc::default()));
+    let peers = accept_conns(host.clone(), peer_listener, peer::serve_peer, None, Rc::default());
+    tasks.spawn_local("peers", peers);
+    for (name, listener) in [("readiness", ready_listener), ("metrics", metrics_listener)] {
+        let probes = accept_conns(host.clone(), listener, serve_probe, None, Rc::default());
+        tasks.spawn_local(name, probes);
     }
-    loop {
+    let task_end = loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            _ = terminate.recv() => break None,
+            _ = interrupt.recv() => break None,
+            end = tasks.next_end() => break Some(end),
             _ = hangup.recv() => reload(&host, file).await,
         }
+    };
+    if let Some(end) = &task_end {
+        LogLine::new("task_ended")
+            .with("task", end.name)
+            .with("reason", end.reason.as_str())
+            .error();
     }
     drain_and_stop(&host, &stop, &open_conns).await;
-    Ok(())
+    task_end.map_or(Ok(()), |end| Err(end.into()))
 }
 
 /// Reads the settings again and applies the log level. Invalid settings change nothing.
