--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -19,6 +19,8 @@
 /// A daemon process, its addresses and its proxy to the store.
 pub struct FrontProcess {
     pub name: String,
+    /// Program that the next start runs; the build under test by default.
+    pub executable: PathBuf,
     child: Option<Child>,
     pub settings: PathBuf,
     pub caller: SocketAddr,
@@ -90,6 +92,8 @@
     pub fronts: Vec<FrontProcess>,
     /// Links of the daemons that were started with [`PlatformFleet::add_linked_front`].
     pub links: Vec<ServerLink>,
+    /// Program of the daemons that are added next.
+    pub executable: PathBuf,
     directory: PathBuf,
     /// Heartbeat number of the servers' latest entries.
     beat: u64,
@@ -135,6 +139,7 @@
             servers: Vec::new(),
             fronts: Vec::new(),
             links: Vec::new(),
+            executable: own_executable(),
             directory,
             beat: 1,
             start_number: 0,
@@ -260,19 +265,24 @@
         );
         let settings = self.directory.join(format!("{name}.ini"));
         std::fs::write(&settings, change_settings(text)).unwrap();
-        let mut front =
-            FrontProcess { name, child: None, settings, caller, ready, metrics, peer, store };
+        let executable = self.executable.clone();
+        let mut front = FrontProcess {
+            name,
+            executable,
+            child: None,
+            settings,
+            caller,
+            ready,
+            metrics,
+            peer,
+            store,
+        };
         front.spawn();
         self.fronts.push(front);
     }
 
     pub async fn wait_ready(&self, number: usize) {
-        let ready = self.fronts[number].ready;
-        eventually(Duration::from_secs(20), "the daemon is ready", || async {
-            let answer = HttpCall::get(ready, "/api/readyz").send().await;
-            answer.is_ok_and(|answer| answer.status == 200)
-        })
-        .await;
+        self.fronts[number].wait_ready().await;
     }
 
     /// Returns how often a client attempt ran on all servers together.
@@ -296,6 +306,11 @@
     }
 }
 
+/// Returns the daemon's program in the build under test.
+pub fn own_executable() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_mangodeald"))
+}
+
 /// Builds a client's request.
 pub fn request(front: SocketAddr, path: &str, attempt: &str, left_ms: u64) -> HttpCall {
     request_with_body(front, path, (attempt, "body of the request"), left_ms)
@@ -360,7 +375,7 @@
             let path = self.settings.with_extension(extension);
             std::fs::OpenOptions::new().create(true).append(true).open(path).unwrap()
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_mangodeald"))
+        let child = Command::new(&self.executable)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -371,6 +386,15 @@
         self.child = Some(child);
     }
 
+    /// Waits until the daemon is ready.
+    pub async fn wait_ready(&self) {
+        eventually(Duration::from_secs(20), "the daemon is ready", || async {
+            let answer = HttpCall::get(self.ready, "/api/readyz").send().await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
     /// Returns the log so far, one JSON value per line.
     pub fn log(&self) -> Vec<serde_json::Value> {
         let text = std::fs::read_to_string(self.settings.with_extension("log")).unwrap();
