Mark omitted values so that builds without them read the store

Cause: such a build ignores is_omitted, reads a change with neither value nor holdings as a deletion, passes over the deletion of the configuration, and counts the revision as known. Every configuration over 4 KB is omitted, so each later one is lost too. The same would take a target with an entry over 4 KB for gone. Such a change now has empty holdings as well: these builds read the whole store after holdings of a key that is no target, and later ones look at is_omitted first, as before.

--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -16,7 +16,8 @@
     /// omitted.
     #[serde(with = "base64_text", default, skip_serializing_if = "Option::is_none")]
     pub value: Option<Vec<u8>>,
-    /// Set if the key holds a target's entry and only this part of the entry changed.
+    /// Set if the key holds a target's entry and only this part of the entry changed. Empty if the value
+    /// is omitted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub holdings: Option<TargetHoldings>,
     /// Set if the value is too large to send; the receiving daemon reads the key from the store.
@@ -25,7 +26,7 @@
 }
 
 /// The part of a target's entry that changes with each load of a model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetHoldings {
     /// Number of the entry, counted from the start of the target's process.
     pub beat: u64,
--- a/crates/lead/src/relay.rs
+++ b/crates/lead/src/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{Revision, Time};
-use fleet::{ChangeBatch, StoreChange};
+use fleet::{ChangeBatch, StoreChange, TargetHoldings};
 
 /// Size of the change log. A daemon that is further behind reads the store itself.
 const MAX_LOG_BYTES: usize = 64 << 10;
@@ -91,6 +91,11 @@
         let newer = newer.map(|change| match &change.holdings {
             // Only the holdings have changed since the value that the daemon has.
             Some(_) => StoreChange { value: None, ..change.clone() },
+            // Early builds ignore `is_omitted`. They take a change with neither value nor holdings for a
+            // deletion, but read a snapshot after holdings of a key that is no target.
+            None if change.is_omitted => {
+                StoreChange { holdings: Some(TargetHoldings::default()), ..change.clone() }
+            }
             None => change.clone(),
         });
         Some(ChangeBatch {
