Keep file descriptors for the store and other daemons

A daemon whose clients' connections took up all file descriptors kept its configuration for good once its own connections were lost: each descriptor that became free went to the next client that waited, so that neither the store nor a leader could be connected to. It went on serving clients by the old configuration.

Clients are now accepted only while 32 descriptors are kept in reserve. A connection to the store or to a daemon that finds none takes one of these, and so does one that a peer or a probe opens.

lost_connections (full_descriptors): a follower with 20 free descriptors, 200 clients that connect again and again, its connections to the store reset for 1 s, its leader killed; configurations from 6 s later on.

--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -11,7 +11,7 @@
 
 use mangodeal::client::{HttpAnswer, HttpCall};
 use platform_standin::{config, StandinServer, StandinStore, HOST, KEY};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use standin::FaultProxy;
 
 use crate::common::{eventually, free_port};
@@ -410,6 +410,20 @@
         text.split(' ').nth(1).unwrap().parse::<u64>().unwrap() * 4_096
     }
 
+    /// Lets the process open `spare` more file descriptors than it has open now.
+    pub fn limit_descriptors(&self, spare: u64) {
+        let pid = Pid::from_child(self.child.as_ref().unwrap());
+        let open = std::fs::read_dir(format!("/proc/{}/fd", pid.as_raw_nonzero())).unwrap();
+        let open: Vec<u64> = open
+            .map(|entry| entry.unwrap().file_name().to_str().unwrap().parse().unwrap())
+            .collect();
+        // New descriptors have the lowest free numbers, and the limit is on numbers.
+        let mut free = (0..).filter(|number| !open.contains(number));
+        let limit = free.nth(spare as usize).unwrap();
+        let limit = Rlimit { current: Some(limit), maximum: Some(limit) };
+        prlimit(Some(pid), Resource::Nofile, limit).unwrap();
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             kill_process(Pid::from_child(child), signal).unwrap();
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -1,6 +1,8 @@
 //! Outgoing HTTP connections and the connection pool.
 
 use std::cell::Cell;
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::descriptors::{is_exhausted, DescriptorReserve};
 use crate::logging::LogLine;
 
 /// Keep-alive probes: the idle time before the first one and the interval between them, and their
@@ -100,8 +103,31 @@
 impl PooledConn {
     /// Connects to an address. Returns `None` if that fails or takes longer than `limit`.
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> Option<PooledConn> {
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(limit, connecting).await.ok()?.ok()?;
+        PooledConn::open_by(TcpStream::connect(address), limit).await
+    }
+
+    /// Like [`open`](Self::open), with a descriptor of the reserve if there is no other one.
+    pub(crate) async fn open_reserved(
+        address: SocketAddr,
+        limit: Duration,
+        reserve: &DescriptorReserve,
+    ) -> Option<PooledConn> {
+        let connect = async {
+            match TcpStream::connect(address).await {
+                Err(error) if is_exhausted(&error) && reserve.release() => {
+                    TcpStream::connect(address).await
+                }
+                result => result,
+            }
+        };
+        PooledConn::open_by(connect, limit).await
+    }
+
+    async fn open_by(
+        connect: impl Future<Output = io::Result<TcpStream>>,
+        limit: Duration,
+    ) -> Option<PooledConn> {
+        let stream = tokio::time::timeout(limit, connect).await.ok()?.ok()?;
         configure(&stream);
         let mut builder = http1::Builder::new();
         builder.read_buf_exact_size(Some(READ_BYTES));
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{ByteSize, Name, Revision, SortedMap, Time};
@@ -18,6 +19,7 @@
 use tokio::sync::Notify;
 
 use crate::conn::ConnPool;
+use crate::descriptors::DescriptorReserve;
 use crate::logging::DropCounter;
 use crate::metrics::{Metrics, Readings};
 use crate::orders::LeaderState;
@@ -70,6 +72,8 @@
     pub(crate) incarnation: u64,
     pub(crate) dispatcher: RefCell<RequestDispatcher>,
     pub(crate) conn_pool: RefCell<ConnPool>,
+    /// Descriptors for connections to the store and between daemons.
+    pub(crate) descriptors: Rc<DescriptorReserve>,
     /// Connections that only carry engines' reports. A late answer on one of them is an older
     /// report, which its sequence number shows.
     pub(crate) report_conn_pool: RefCell<ConnPool>,
@@ -155,6 +159,7 @@
     ) -> Host {
         let incarnation = rand::random::<u64>() >> 11;
         let control_buffers = BufferPool::new(CONTROL_BUFFERS);
+        let descriptors = Rc::new(DescriptorReserve::new());
         let config = DispatcherConfig::new(settings.host.clone(), settings.domain.clone())
             .seed(incarnation)
             .return_grace(settings.return_grace)
@@ -165,9 +170,15 @@
             incarnation,
             dispatcher: RefCell::new(RequestDispatcher::new(boot_time(), config)),
             conn_pool: RefCell::default(),
+            descriptors: descriptors.clone(),
             report_conn_pool: RefCell::default(),
             request_buffers: BufferPool::new(settings.buffers),
-            store: StoreClient::new(settings.store, settings.call_timeout, control_buffers.clone()),
+            store: StoreClient::new(
+                settings.store,
+                settings.call_timeout,
+                control_buffers.clone(),
+                descriptors,
+            ),
             control_buffers,
             received_count: Cell::new(0),
             metrics,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -27,6 +27,7 @@
 mod answer;
 mod caller;
 mod conn;
+mod descriptors;
 mod election;
 mod events;
 mod evidence;
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -301,7 +301,10 @@
     let pooled = host.conn_pool.borrow_mut().take(boot_time(), address, MAX_IDLE_TIME);
     let mut conn = match pooled {
         Some(conn) => conn,
-        None => PooledConn::open(address, CONNECT_TIMEOUT.min(limits.silence)).await?,
+        None => {
+            let limit = CONNECT_TIMEOUT.min(limits.silence);
+            PooledConn::open_reserved(address, limit, &host.descriptors).await?
+        }
     };
     let buffers = (MAX_MESSAGE_BYTES, &host.control_buffers);
     match conn.call_steadily(address, &call, limits, buffers).await {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::answer::ReplyBody;
+use crate::descriptors::is_exhausted;
 use crate::exchange::MAX_IDLE_TIME;
 use crate::host::{sleep_until, Host, MAX_LOOP_PAUSE};
 use crate::logging::{init_logging, LogLine};
@@ -183,8 +184,9 @@
     }
 }
 
-/// Accepts connections and serves their requests. With `stopped`, they end in a planned stop: answers
-/// close them, and idle ones are closed when it becomes true.
+/// Accepts connections and serves their requests. With `stopped`, they are those of clients, which leave
+/// the reserve of file descriptors alone and end in a planned stop: answers close them, and idle ones are
+/// closed when it becomes true.
 async fn accept_conns<F, R>(
     host: Rc<Host>,
     listener: TcpListener,
@@ -195,12 +197,21 @@
     F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Response<ReplyBody>> + 'static,
 {
+    let has_clients = stopped.is_some();
     loop {
-        let stream = match listener.accept().await {
+        let refilled = if has_clients { host.descriptors.refill() } else { Ok(()) };
+        let accepted = match refilled {
+            Ok(()) => listener.accept().await,
+            Err(error) => Err(error),
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 LogLine::new("accept_failed").text("error", &error).warn();
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                let is_freed = !has_clients && is_exhausted(&error) && host.descriptors.release();
+                if !is_freed {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
                 continue;
             }
         };
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{Revision, StoreEra, Time};
@@ -13,6 +14,7 @@
 use platform::{FormatError, HttpCall};
 
 use crate::conn::{CallLimits, ConnError, ConnPool, PooledConn};
+use crate::descriptors::DescriptorReserve;
 use crate::logging::LogLine;
 
 /// Time limit of connecting to the store.
@@ -66,18 +68,25 @@
     timeout: Duration,
     pool: RefCell<ConnPool>,
     buffers: BufferPool,
+    descriptors: Rc<DescriptorReserve>,
     calls: Cell<u64>,
     /// Latest era of the store that an answer named; `None` before the first answer.
     era: Cell<Option<StoreEra>>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr, timeout: Duration, buffers: BufferPool) -> StoreClient {
+    pub(crate) fn new(
+        address: SocketAddr,
+        timeout: Duration,
+        buffers: BufferPool,
+        descriptors: Rc<DescriptorReserve>,
+    ) -> StoreClient {
         StoreClient {
             address,
             timeout,
             pool: RefCell::default(),
             buffers,
+            descriptors,
             calls: Cell::new(0),
             era: Cell::new(None),
         }
@@ -250,9 +259,12 @@
         let pooled = self.pool.borrow_mut().take(now, self.address, MAX_IDLE_TIME);
         let mut conn = match pooled {
             Some(conn) => conn,
-            None => PooledConn::open(self.address, CONNECT_TIMEOUT.min(limits.silence))
-                .await
-                .ok_or(StoreError::NotSent)?,
+            None => {
+                let limit = CONNECT_TIMEOUT.min(limits.silence);
+                PooledConn::open_reserved(self.address, limit, &self.descriptors)
+                    .await
+                    .ok_or(StoreError::NotSent)?
+            }
         };
         let buffers = (max_bytes, &self.buffers);
         match conn.call_steadily(self.address, call, limits, buffers).await {
