--- a/crates/mangodeal/tests/mixed_builds.rs
+++ b/crates/mangodeal/tests/mixed_builds.rs
@@ -86,15 +86,10 @@
     front.executable == own_executable()
 }
 
-/// Returns whether the log says that the daemon leads.
-fn leads(front: &FrontProcess) -> bool {
-    let log = front.log();
-    let last = log.iter().rev().find_map(|line| match line["event"].as_str()? {
-        "leads" => Some(true),
-        "leads_no_more" | "started" => Some(false),
-        _ => None,
-    });
-    last.unwrap_or(false)
+/// Returns the number of the daemon that leads, by the store.
+fn leader_of(fleet: &PlatformFleet) -> Option<usize> {
+    let record: Value = serde_json::from_slice(&fleet.store.value("mango/leader")?).ok()?;
+    fleet.fronts.iter().position(|front| record["host"] == front.name.as_str())
 }
 
 /// Configurations and the times at which they were written.
@@ -138,8 +133,9 @@
     ready_at: Option<Instant>,
     version: u64,
     worst_lag: Duration,
-    /// The version that was due when the daemon was late first, and the one that it had.
-    late: Option<(u64, u64)>,
+    /// The version that was due when the daemon was late first, the one that it had, and whether it ran
+    /// this build then.
+    late: Option<(u64, u64, bool)>,
 }
 
 impl DaemonView {
@@ -156,7 +152,7 @@
         }
         self.version = version;
         if version < due {
-            self.late.get_or_insert((due, version));
+            self.late.get_or_insert((due, version, self.is_current));
         }
     }
 }
@@ -273,19 +269,22 @@
 
 /// Names a daemon and its build.
 fn describe(front: &FrontProcess) -> String {
-    let build = if is_current(front) { "this build" } else { "earlier build" };
-    format!("{} ({build})", front.name)
+    format!("{} ({})", front.name, build_name(is_current(front)))
 }
 
-/// Waits until all daemons follow the leader, and returns its number.
+fn build_name(is_current: bool) -> &'static str {
+    if is_current {
+        "this build"
+    } else {
+        "earlier build"
+    }
+}
+
+/// Waits until a daemon leads, and returns its number.
 async fn find_leader(fleet: &PlatformFleet) -> usize {
-    let leader = Cell::new(None);
-    eventually(Duration::from_secs(20), "a daemon leads", || async {
-        leader.set(fleet.fronts.iter().position(leads));
-        leader.get().is_some()
-    })
-    .await;
-    leader.get().unwrap()
+    eventually(Duration::from_secs(20), "a daemon leads", || async { leader_of(fleet).is_some() })
+        .await;
+    leader_of(fleet).unwrap()
 }
 
 /// Starts a daemon that leads, and the others beside it, and replaces all of the earlier build.
@@ -307,8 +306,9 @@
         let views = roll(&mut fleet, &storm, part).await;
         for (view, front) in views.iter().zip(&fleet.fronts) {
             eprintln!("step {step}, {}: worst lag {:?}", describe(front), view.worst_lag);
-            wrong.extend(view.late.map(|(due, version)| {
-                format!("step {step}, {}: {version} in force, {due} due", describe(front))
+            wrong.extend(view.late.map(|(due, version, is_current)| {
+                let build = build_name(is_current);
+                format!("step {step}, {} ({build}): {version} in force, {due} due", front.name)
             }));
         }
         for _ in 0..2 {
