--- a/crates/mangodeal/tests/platform_fleet/mod.rs
+++ b/crates/mangodeal/tests/platform_fleet/mod.rs
@@ -11,7 +11,7 @@
 
 use mangodeal::client::{HttpAnswer, HttpCall};
 use platform_standin::{config, StandinServer, StandinStore, HOST, KEY};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use standin::FaultProxy;
 
 use crate::common::{eventually, free_port};
@@ -19,6 +19,8 @@
 /// A daemon process, its addresses and its proxy to the store.
 pub struct FrontProcess {
     pub name: String,
+    /// Program that the next start runs; the build under test by default.
+    pub executable: PathBuf,
     child: Option<Child>,
     pub settings: PathBuf,
     pub caller: SocketAddr,
@@ -92,6 +94,8 @@
     pub fronts: Vec<FrontProcess>,
     /// Links of the daemons that were started with [`PlatformFleet::add_linked_front`].
     pub links: Vec<ServerLink>,
+    /// Program of the daemons that are added next.
+    pub executable: PathBuf,
     directory: PathBuf,
     /// Heartbeat number of the servers' latest entries.
     beat: u64,
@@ -139,6 +143,7 @@
             servers: Vec::new(),
             fronts: Vec::new(),
             links: Vec::new(),
+            executable: own_executable(),
             directory,
             beat: 1,
             start_number: 0,
@@ -264,19 +269,24 @@
         );
         let settings = self.directory.join(format!("{name}.ini"));
         std::fs::write(&settings, change_settings(text)).unwrap();
-        let mut front =
-            FrontProcess { name, child: None, settings, caller, ready, metrics, peer, store };
+        let executable = self.executable.clone();
+        let mut front = FrontProcess {
+            name,
+            executable,
+            child: None,
+            settings,
+            caller,
+            ready,
+            metrics,
+            peer,
+            store,
+        };
         front.spawn();
         self.fronts.push(front);
     }
 
     pub async fn wait_ready(&self, number: usize) {
-        let ready = self.fronts[number].ready;
-        eventually(Duration::from_secs(20), "the daemon is ready", || async {
-            let answer = HttpCall::get(ready, "/api/readyz").send().await;
-            answer.is_ok_and(|answer| answer.status == 200)
-        })
-        .await;
+        self.fronts[number].wait_ready().await;
     }
 
     /// Returns how often a client attempt ran on all servers together.
@@ -300,6 +310,11 @@
     }
 }
 
+/// Returns the daemon's program in the build under test.
+pub fn own_executable() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_mangodeald"))
+}
+
 /// Builds a client's request.
 pub fn request(front: SocketAddr, path: &str, attempt: &str, left_ms: u64) -> HttpCall {
     request_with_body(front, path, (attempt, "body of the request"), left_ms)
@@ -364,7 +379,7 @@
             let path = self.settings.with_extension(extension);
             std::fs::OpenOptions::new().create(true).append(true).open(path).unwrap()
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_mangodeald"))
+        let child = Command::new(&self.executable)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -375,6 +390,15 @@
         self.child = Some(child);
     }
 
+    /// Waits until the daemon is ready.
+    pub async fn wait_ready(&self) {
+        eventually(Duration::from_secs(20), "the daemon is ready", || async {
+            let answer = HttpCall::get(self.ready, "/api/readyz").send().await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
     /// Returns the log so far, one JSON value per line.
     pub fn log(&self) -> Vec<serde_json::Value> {
         let text = std::fs::read_to_string(self.settings.with_extension("log")).unwrap();
@@ -390,6 +414,20 @@
         text.split(' ').nth(1).unwrap().parse::<u64>().unwrap() * 4_096
     }
 
+    /// Lets the process open `spare` more file descriptors than it has open now.
+    pub fn limit_descriptors(&self, spare: u64) {
+        let pid = Pid::from_child(self.child.as_ref().unwrap());
+        let open = std::fs::read_dir(format!("/proc/{}/fd", pid.as_raw_nonzero())).unwrap();
+        let open: Vec<u64> = open
+            .map(|entry| entry.unwrap().file_name().to_str().unwrap().parse().unwrap())
+            .collect();
+        // New descriptors have the lowest free numbers, and the limit is on numbers.
+        let mut free = (0..).filter(|number| !open.contains(number));
+        let limit = free.nth(spare as usize).unwrap();
+        let limit = Rlimit { current: Some(limit), maximum: Some(limit) };
+        prlimit(Some(pid), Resource::Nofile, limit).unwrap();
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             kill_process(Pid::from_child(child), signal).unwrap();
