--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -130,7 +130,7 @@
             if page.revision.era() != revision.era() {
                 return Err(StoreError::Outdated);
             }
-            has_more_pages = page.has_more && !page.items.is_empty();
+            has_more_pages = page.has_more;
             items.extend(page.items);
         }
         items.retain(|item| item.key.as_str() < end);
