Pass layouts on as patches, instead of each daemon reading every version whole

Callers were refused by configurations that had been replaced: on a large fleet a new version came into force later than allowed, or not before the next one.

Cause: one version cost the store's link its size, encoded, once for each daemon. 727 KB to 295 daemons are 286 MB, 2.3 s of 1,000 Mbit/s, more than a storm of changes leaves, so that daemons fell further behind with each change. The class of fault is a cost of one change that grows with daemons times size on a link that all share.

A value is now compressed against the version that the receiver has (crate patch: zstd with that version as prefix; both named by digests). Reports to the leader state version and digest of the daemon's layout; the leader's reply has the patches up to 4 KB, and the daemon asks the leader for larger ones, which passes them on at half of its link's rate. Only then the store is read. That the leader compares versions with every report also heals a change that a daemon has missed. Daemons of earlier builds state no digest and read the store as before; as leaders they answer the query with 503.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,9 +40,9 @@
 };
 pub use share::{leaderless_rate, SpendRate, EVEN_SHARE_DELAY};
 pub use sync::{
-    AdapterReply, AdapterRequest, AllowanceRequest, LayoutRequest, LoadEstimate, ModelDemand,
-    ModelNeed, PermitReply, PermitRequest, SyncReply, SyncReport, TargetOccupancy, TeamDraw,
-    TeamGrant,
+    AdapterReply, AdapterRequest, AllowanceRequest, LayoutAnswer, LayoutQuery, LayoutRequest,
+    LayoutUpdate, LoadEstimate, ModelDemand, ModelNeed, PermitReply, PermitRequest, SyncReply,
+    SyncReport, TargetOccupancy, TeamDraw, TeamGrant,
 };
 pub use target::{
     HeldModel, ModelRef, PromptPart, SoftwareVersion, TargetDeparture, TargetEntry, TargetLoad,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -4,6 +4,7 @@
 
 use base::{ModelName, Name, Revision, TargetName, TeamName};
 use limit::{ColdStatement, LimitStatement, PermitDenial, PermitUse};
+use patch::{ValueDigest, ValuePatch};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -153,6 +154,9 @@
     /// Version of the daemon's layout; `None` before it has one, and in reports of earlier builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub layout: Option<LayoutVersion>,
+    /// Digest of the daemon's layout as the store has it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layout_digest: Option<ValueDigest>,
 }
 
 /// A part of a team's allowance that a daemon may spend for a short time.
@@ -228,6 +232,43 @@
     /// Version of the leader's layout; `None` before it has one, and in replies of earlier builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub layout: Option<LayoutVersion>,
+    /// The leader's layout, for a daemon that has an older one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layout_update: Option<LayoutUpdate>,
+}
+
+/// A layout, for a daemon that has stated an older one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayoutUpdate {
+    /// Version of the layout.
+    pub version: LayoutVersion,
+    /// Revision at which the store has it, or a lower one.
+    pub revision: Revision,
+    /// Patches that lead to it from the layout that the receiver has stated. They are left out of the
+    /// reply to a report if they are large: the receiver then asks for them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub patches: Vec<ValuePatch>,
+}
+
+/// A request to the leader or to another daemon for a later layout than the one that the sender has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayoutQuery {
+    /// Version of the sender's layout.
+    pub version: LayoutVersion,
+    /// Digest of the sender's layout as the store has it, if the sender has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<ValueDigest>,
+}
+
+/// The answer to a [`LayoutQuery`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayoutAnswer {
+    /// Time since the answering daemon's layout was known to be the latest one, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
+    /// The answering daemon's layout, if it is later than the sender's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub update: Option<LayoutUpdate>,
 }
 
 /// A request to the leader to load an adapter on a target.
@@ -248,8 +289,7 @@
     pub wait_ms: Option<u64>,
 }
 
-/// A request to the leader or to another daemon for the layout, from one that can't read it from the
-/// store.
+/// A request for the whole layout, as earlier builds send and answer it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LayoutRequest {
     /// Revision of the oldest layout that is of use.
--- a/crates/front/src/dispatcher/sync.rs
+++ b/crates/front/src/dispatcher/sync.rs
@@ -75,6 +75,7 @@
             slowdowns: self.targets.take_slowdowns(MAX_SLOWDOWNS),
             cold: self.report_cold(now),
             layout: self.layout.as_ref().map(|layout| layout.version()),
+            layout_digest: None,
         }
     }
 
--- a/crates/front/tests/cold_targets.rs
+++ b/crates/front/tests/cold_targets.rs
@@ -213,6 +213,7 @@
         cold: vec![statement],
         changes: None,
         layout: None,
+        layout_update: None,
     };
     daemon.apply_reply(at(100), at(90), &reply);
     // The entry was written before the target became cold.
--- a/crates/front/tests/prefill_schedule.rs
+++ b/crates/front/tests/prefill_schedule.rs
@@ -123,6 +123,7 @@
         cold: Vec::new(),
         changes: None,
         layout: None,
+        layout_update: None,
     };
     dispatcher.apply_reply(now, now, &reply);
 }
--- a/crates/front/tests/stream_versions.rs
+++ b/crates/front/tests/stream_versions.rs
@@ -205,6 +205,7 @@
         cold: Vec::new(),
         changes: None,
         layout: None,
+        layout_update: None,
     }
 }
 
--- a/crates/lead/src/layout.rs
+++ b/crates/lead/src/layout.rs
@@ -13,6 +13,9 @@
 const TIMEOUT_DIVISOR: u32 = 8;
 /// Other daemons are asked for at most the bound divided by this.
 const PEER_DIVISOR: u32 = 6;
+/// A daemon that isn't a reader waits for the readers' checks, and for their answers, for the bound
+/// divided by this.
+const READER_DIVISOR: u32 = 16;
 /// Pauses after a check that has failed, and after another one, as divisors of the bound.
 const FAILURE_DIVISOR: u32 = 4;
 const PAUSE_DIVISOR: u32 = 16;
@@ -110,6 +113,17 @@
         self.bound / TIMEOUT_DIVISOR
     }
 
+    /// Returns how long a daemon that isn't a reader waits for the readers to check, and then for their
+    /// answers.
+    pub fn reader_timeout(&self) -> Duration {
+        self.bound / READER_DIVISOR
+    }
+
+    /// Returns whether a layout that was the latest one at `at` needs no check of its own now.
+    pub fn is_recent(&self, now: Time, at: Time) -> bool {
+        now.since(at) < self.bound / SILENCE_DIVISOR
+    }
+
     /// Returns how long other daemons are asked for a newer layout when the store doesn't answer.
     pub fn peer_timeout(&self) -> Duration {
         self.bound / PEER_DIVISOR
--- a/crates/lead/src/leader.rs
+++ b/crates/lead/src/leader.rs
@@ -556,6 +556,7 @@
             cold,
             changes: self.changes.since(now, report.known),
             layout: self.layout.as_ref().map(|layout| layout.version()),
+            layout_update: None,
         }
     }
 
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -43,6 +43,21 @@
         registered.for_each(|(host, address)| self.insert(host, address));
     }
 
+    /// Returns the address of a registered daemon.
+    pub fn address(&self, host: &Name) -> Option<SocketAddr> {
+        self.addresses.get(host).copied()
+    }
+
+    /// Returns the `count` daemons that read for the others what nobody relays.
+    ///
+    /// All daemons choose the same ones, and a daemon that joins or leaves changes one of them at most.
+    pub fn readers(&self, count: usize) -> Vec<(&Name, SocketAddr)> {
+        let mut ranked: Vec<_> =
+            self.addresses.iter().map(|(host, at)| (rank(host), host, *at)).collect();
+        ranked.sort_unstable_by_key(|(rank, host, _)| (*rank, *host));
+        ranked.into_iter().take(count).map(|(_, host, address)| (host, address)).collect()
+    }
+
     /// Returns up to `count` daemons other than `own`, the first of them chosen by a random number.
     ///
     /// They are far apart in the order of names, since neighbours there are often in one failure
@@ -58,3 +73,12 @@
         (0..count).map(|number| others[(first + number * stride) % others.len()]).collect()
     }
 }
+
+/// Returns a number that depends on the name only, in every build (FNV-1a with a final mix).
+fn rank(host: &Name) -> u64 {
+    let bytes = host.as_str().bytes();
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/crates/lead/tests/common/mod.rs
+++ b/crates/lead/tests/common/mod.rs
@@ -135,6 +135,7 @@
         cold: Vec::new(),
         draws: Vec::new(),
         layout: None,
+        layout_digest: None,
     }
 }
 
--- a/crates/lead/tests/peer_book.rs
+++ b/crates/lead/tests/peer_book.rs
@@ -89,3 +89,37 @@
     book.replace([(host("c"), "127.0.0.1:4".parse().unwrap())].into_iter());
     assert_eq!(book.draw(&host("a"), 7, PEERS), ["127.0.0.1:4".parse().unwrap()]);
 }
+
+/// Guards against daemons that ask each other and none of which reads the store, because each has chosen
+/// other readers.
+#[test]
+fn stable_readers() {
+    const READERS: usize = 8;
+    let names = |book: &PeerBook| -> Vec<Name> {
+        book.readers(READERS).into_iter().map(|(name, _)| name.clone()).collect()
+    };
+    for (domains, count) in [(3, 7), (3, 79), (4, 88), (5, 295)] {
+        let book = fill_book(domains, count);
+        let readers = names(&book);
+        assert_eq!(readers.len(), READERS.min(count));
+        for number in 0..count {
+            let mut smaller = book.clone();
+            let left = name_of(number, domains, count);
+            smaller.remove(&left);
+            let kept = names(&smaller);
+            let changed = readers.iter().filter(|name| !kept.contains(name)).count();
+            assert_eq!(
+                changed,
+                usize::from(readers.contains(&left)),
+                "{count} daemons without {left}"
+            );
+        }
+        if count > 7 {
+            let domain_of = |name: &Name| name.to_string()[..8].to_owned();
+            let mut covered: Vec<String> = readers.iter().map(domain_of).collect();
+            covered.sort();
+            covered.dedup();
+            assert!(covered.len() > 1, "{count} daemons: all readers in one domain");
+        }
+    }
+}
--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -168,6 +168,38 @@
     });
 }
 
+/// Guards against daemons that keep an old configuration for good after a change that got lost on its way
+/// to them.
+#[test]
+fn missed_change() {
+    run(async {
+        let mut fleet = start_fleet(3).await;
+        let leads = |front: &FrontProcess| front.log().iter().any(|line| line["event"] == "leads");
+        let leader = fleet.fronts.iter().position(leads).unwrap();
+        fleet.store.put_unwatched("op/config", &large_config(10));
+        // Later changes carry all daemons past the one that they haven't seen.
+        for _ in 0..5 {
+            fleet.write_heartbeats();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        for front in &fleet.fronts {
+            assert_eq!(version_of(front).await, Some(3), "{}", front.name);
+        }
+        // A daemon that starts reads everything, and leads again at once.
+        fleet.fronts[leader].kill();
+        fleet.fronts[leader].spawn();
+        fleet.wait_ready(leader).await;
+        let begun_at = Instant::now();
+        for front in &fleet.fronts {
+            while version_of(front).await != Some(10) {
+                assert!(begun_at.elapsed() < APPLY_BOUND, "{} is late", front.name);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            eprintln!("{}: in force after {:?}", front.name, begun_at.elapsed());
+        }
+    });
+}
+
 /// Guards against another key that begins like the configuration's and is read as the configuration
 /// when a daemon reads the whole store.
 #[test]
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -24,6 +24,7 @@
 use crate::layout::{self, apply_layout, confirm_layout, LayoutSource};
 use crate::logging::LogLine;
 use crate::origins::{self, MIX_PREFIX, RECORD_PREFIX};
+use crate::passing;
 use crate::store::StoreError;
 use crate::{orders, peer};
 
@@ -256,7 +257,17 @@
         let asked_at = boot_time();
         let limit = if is_layout { LAYOUT_READ_TIMEOUT } else { host.settings.call_timeout };
         let has_begun = Cell::new(false);
-        let mut call = std::pin::pin!(host.store.read_key_within(&read.key, limit, &has_begun));
+        let call = async {
+            if is_layout {
+                // The leader sends the change only, the store the whole value.
+                if let Some(item) = passing::fetch_from_leader(&host, read.revision).await {
+                    return Ok((Some(item), LayoutSource::Leader));
+                }
+            }
+            let item = host.store.read_key_within(&read.key, limit, &has_begun).await?;
+            Ok::<_, StoreError>((item, LayoutSource::Read))
+        };
+        let mut call = std::pin::pin!(call);
         let item = loop {
             tokio::select! {
                 item = &mut call => break item,
@@ -264,12 +275,15 @@
                 // applied.
                 () = host.relay_changed.notified() => self.apply_relayed(),
             }
-            if host.unread_values.borrow().is_overtaken(boot_time(), &read) {
+            let unread = host.unread_values.borrow();
+            // A value may have arrived by another way meanwhile.
+            let is_needed = unread.unread_since(read.class).is_some();
+            if !is_needed || unread.is_overtaken(boot_time(), &read) {
                 return;
             }
         };
         match item {
-            Ok(item) => self.apply_read(&read, asked_at, item, LayoutSource::Read),
+            Ok((item, source)) => self.apply_read(&read, asked_at, item, source),
             Err(error) => {
                 let key = read.key.as_str();
                 LogLine::new("value_unread").with("key", key).text("error", &error).info();
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -14,8 +14,9 @@
     HelperBook, LayoutFreshness, LayoutLag, ListValidity, PeerBook, RelayView, SeatRoster,
     UnreadValues, ValueClass,
 };
-use node::{KeyValue, LeaseId};
+use node::LeaseId;
 use origin::OriginBook;
+use patch::{TransferBudget, ValueHistory};
 use tokio::sync::Notify;
 
 use crate::conn::ConnPool;
@@ -111,8 +112,12 @@
     pub(crate) relayed_batches: RefCell<Vec<RelayedBatch>>,
     /// Values that the leader left out of its batches and that have not been read.
     pub(crate) unread_values: RefCell<UnreadValues>,
-    /// The latest layout as it was read, for daemons that can't read it.
-    pub(crate) layout_item: RefCell<Option<KeyValue>>,
+    /// The latest layout as the store has it, and how other daemons get it from the one that they have.
+    pub(crate) layout_history: RefCell<ValueHistory>,
+    /// What this daemon may pass on of it.
+    pub(crate) transfer_budget: RefCell<TransferBudget>,
+    /// Whether a layout is being fetched from a daemon that has a later one than this leader.
+    pub(crate) is_fetching_layout: Cell<bool>,
     /// How recently the layout was known to be the latest one.
     pub(crate) layout_freshness: Cell<LayoutFreshness>,
     /// Whether the layout in force is the latest one that other daemons have.
@@ -197,7 +202,9 @@
             relay_view: Cell::new(RelayView::new(settings.max_relay_age())),
             relayed_batches: RefCell::default(),
             unread_values: RefCell::new(UnreadValues::new(settings.watch_pause)),
-            layout_item: RefCell::default(),
+            layout_history: RefCell::default(),
+            transfer_budget: RefCell::new(TransferBudget::new(settings.transfer_rate())),
+            is_fetching_layout: Cell::new(false),
             layout_freshness: Cell::new(LayoutFreshness::new(settings.apply)),
             layout_lag: Cell::new(LayoutLag::new(settings.apply)),
             layout_check_due: Notify::new(),
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -15,17 +15,23 @@
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, LAYOUT_KEY};
 use platform::store::WatchReply;
+use rand::seq::SliceRandom;
 
 use crate::exchange::log_ignored_cold;
 use crate::follow::NO_WAIT;
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::orders::{self, LeaderState};
+use crate::passing::{self, PeerLayout};
 use crate::peer;
 use crate::store::StoreError;
 
 /// Number of daemons that are asked for a newer layout if the store doesn't answer a check.
 const PEERS_PER_CHECK: usize = 4;
+/// Number of daemons whose checks go to the store. The others ask some of them, so that a large layout
+/// isn't read by the whole fleet at once.
+const READERS: usize = 8;
+const READERS_PER_CHECK: usize = 2;
 
 /// Largest answer with one change of the layout, as a multiple of the layout in force, which is encoded in
 /// four thirds of its size and may have grown; and the least value.
@@ -45,6 +51,8 @@
     Leader,
     /// From another daemon, because the store didn't answer a check.
     Peer,
+    /// With the leader's reply to a report, as a patch.
+    Patch,
 }
 
 impl LayoutSource {
@@ -56,6 +64,7 @@
             LayoutSource::Read => "store",
             LayoutSource::Leader => "leader",
             LayoutSource::Peer => "peer",
+            LayoutSource::Patch => "patch",
         }
     }
 
@@ -65,7 +74,7 @@
             LayoutSource::Snapshot | LayoutSource::Change | LayoutSource::Read => {
                 LayoutSender::Store
             }
-            LayoutSource::Leader | LayoutSource::Peer => LayoutSender::Daemon,
+            LayoutSource::Leader | LayoutSource::Peer | LayoutSource::Patch => LayoutSender::Daemon,
         }
     }
 }
@@ -76,8 +85,8 @@
     let in_force = host.dispatcher.borrow().layout().map(|layout| layout.version());
     let found = layout.as_ref().ok().map(FleetLayout::version);
     let verdict = LayoutVerdict::of(source.sender(), in_force, found);
-    if verdict.is_relayed() && !has_read(host, item.revision) {
-        host.layout_item.borrow_mut().replace(item.clone());
+    if found.is_some() && found >= in_force {
+        host.layout_history.borrow_mut().replace(item.revision, item.value.clone());
     }
     match layout {
         Ok(layout) if verdict == LayoutVerdict::Newer => put_in_force(host, layout, item, source),
@@ -124,7 +133,7 @@
 
 /// Returns whether the layout was read at this revision or a later one.
 pub(crate) fn has_read(host: &Host, revision: Revision) -> bool {
-    host.layout_item.borrow().as_ref().is_some_and(|item| item.revision >= revision)
+    host.layout_history.borrow().revision().is_some_and(|known| known >= revision)
 }
 
 /// Records the version that the leader has, and logs from time to time that it isn't in force here.
@@ -195,6 +204,7 @@
         let line = LogLine::new("layout_checked")
             .with("age_ms", age.as_millis() as u64)
             .with("took_ms", now.since(asked_at).as_millis() as u64)
+            .with("readers_ms", to_millis(steps.readers))
             .with("changes_ms", to_millis(steps.changes))
             .with("read_ms", to_millis(steps.read))
             .with("peers_ms", to_millis(steps.peers))
@@ -212,6 +222,8 @@
 /// How long the steps of a check took; `None` for a step that was not taken.
 #[derive(Clone, Copy, Debug, Default)]
 struct CheckSteps {
+    /// Waiting for daemons that check for the others, and asking them.
+    readers: Option<Duration>,
     /// Waiting for changes of the layout.
     changes: Option<Duration>,
     /// Reading the whole layout.
@@ -230,6 +242,11 @@
 
 /// Asks the store whether there is a newer layout and applies it. Returns whether there was one.
 async fn check_layout(host: &Host, steps: &mut CheckSteps) -> Result<bool, StoreError> {
+    let begun_at = boot_time();
+    if let Some(is_new) = check_at_readers(host).await {
+        steps.readers = Some(boot_time().since(begun_at));
+        return Ok(is_new);
+    }
     let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
     let freshness = host.layout_freshness.get();
     let limit = freshness.change_timeout();
@@ -282,44 +299,89 @@
     Ok(verdict == Some(LayoutVerdict::Newer))
 }
 
+/// Asks daemons that check for the others whether there is a newer layout, and applies it. Returns whether
+/// there was one; `None` if this daemon must check itself.
+async fn check_at_readers(host: &Host) -> Option<bool> {
+    let freshness = host.layout_freshness.get();
+    if freshness.has_failed() {
+        return None;
+    }
+    let readers = other_readers(host)?;
+    let limit = freshness.reader_timeout();
+    sleep_until(boot_time() + limit).await;
+    let asked_at = boot_time();
+    let ask = |address| passing::query(host, address, limit);
+    let mut answers: FuturesUnordered<_> = readers.into_iter().map(ask).collect();
+    while let Some(answer) = answers.next().await {
+        let Some(PeerLayout { item, age: Some(age) }) = answer else { continue };
+        let verdict = item.map(|item| apply_checked(host, &item, LayoutSource::Peer));
+        let checked_at = asked_at - age;
+        let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
+        if freshness.is_recent(boot_time(), checked_at) && !is_unread {
+            confirm_layout(host, checked_at);
+            return Some(verdict == Some(LayoutVerdict::Newer));
+        }
+    }
+    None
+}
+
+/// Returns some of the daemons that check for the others; `None` if this daemon is one of them, or if
+/// there are none.
+fn other_readers(host: &Host) -> Option<Vec<SocketAddr>> {
+    let book = host.peer_book.borrow();
+    let mut readers = book.readers(READERS);
+    if readers.iter().any(|(name, _)| **name == host.settings.host) {
+        return None;
+    }
+    readers.shuffle(&mut rand::rng());
+    let asked: Vec<_> = readers.iter().take(READERS_PER_CHECK).map(|(_, at)| *at).collect();
+    (!asked.is_empty()).then_some(asked)
+}
+
 /// Returns the size of an answer with one change of the layout. An answer with several repeats the whole
 /// layout for each, so that reading the value is shorter.
 fn max_change_bytes(host: &Host) -> usize {
-    let known = host.layout_item.borrow().as_ref().map_or(0, |item| item.value.len());
+    let known = host.layout_history.borrow().value().map_or(0, <[u8]>::len);
     MIN_CHANGE_BYTES + known * ENCODED_FACTOR
 }
 
 /// Asks other daemons for a newer layout. None of their answers confirms that there is no later one.
 async fn ask_peers(host: &Host) {
-    let known = host.layout_item.borrow().as_ref().map(|item| item.revision);
-    let Some(revision) = known.map(|known| Revision(known.0 + 1)) else { return };
     let own = &host.settings.host;
     let peers = host.peer_book.borrow().draw(own, rand::random(), PEERS_PER_CHECK);
-    let limit = host.layout_freshness.get().peer_timeout();
-    let ask = |address| peer::fetch_layout_from(host, address, revision, limit);
-    let mut asked: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
+    let mut asked: FuturesUnordered<_> =
+        peers.into_iter().map(|address| fetch_later(host, address)).collect();
     while let Some(answer) = asked.next().await {
-        let Some(value) = answer else { continue };
-        let item = KeyValue { key: LAYOUT_KEY.to_owned(), value, revision };
+        let Some(item) = answer else { continue };
         if apply_checked(host, &item, LayoutSource::Peer).is_read() {
             break;
         }
     }
 }
 
+/// Gets a later layout from another daemon, if that has one.
+async fn fetch_later(host: &Host, address: SocketAddr) -> Option<KeyValue> {
+    let limit = host.layout_freshness.get().peer_timeout();
+    match passing::query(host, address, limit).await {
+        Some(answer) => answer.item,
+        // It may be of an earlier build.
+        None => {
+            let revision = Revision(host.layout_history.borrow().revision()?.0 + 1);
+            let value = peer::fetch_layout_from(host, address, revision, limit).await?;
+            Some(KeyValue { key: LAYOUT_KEY.to_owned(), value, revision })
+        }
+    }
+}
+
 /// Gets a newer layout from a daemon that is known to have one.
 pub(crate) async fn fetch_from(host: Rc<Host>, address: SocketAddr) {
-    let known = host.layout_item.borrow().as_ref().map(|item| item.revision);
-    let Some(revision) = known.map(|known| Revision(known.0 + 1)) else { return };
-    let limit = host.layout_freshness.get().peer_timeout();
-    if let Some(value) = peer::fetch_layout_from(&host, address, revision, limit).await {
-        let key = LAYOUT_KEY.to_owned();
-        apply_checked(&host, &KeyValue { key, value, revision }, LayoutSource::Peer);
+    if let Some(item) = fetch_later(&host, address).await {
+        apply_checked(&host, &item, LayoutSource::Peer);
     }
 }
 
 /// Applies a layout that a check has found, and returns what it was.
-fn apply_checked(host: &Host, item: &KeyValue, source: LayoutSource) -> LayoutVerdict {
+pub(crate) fn apply_checked(host: &Host, item: &KeyValue, source: LayoutSource) -> LayoutVerdict {
     let verdict = apply_layout(host, item, source);
     if verdict.is_read() {
         host.unread_values.borrow_mut().resolve(LAYOUT_KEY, item.revision);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -40,6 +40,7 @@
 mod metrics;
 mod orders;
 mod origins;
+mod passing;
 mod path;
 mod peer;
 mod run;
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use daemon::boot_time;
 use fleet::{
-    AdapterReply, AdapterRequest, ChangeBatch, LayoutRequest, ModelRef, PermitReply, PermitRequest,
-    SyncReply, SyncReport,
+    AdapterReply, AdapterRequest, ChangeBatch, LayoutAnswer, LayoutQuery, LayoutRequest, ModelRef,
+    PermitReply, PermitRequest, SyncReply, SyncReport,
 };
 use front::{FetchEnd, PermitEnd, PreviewError, PreviewQuery, RequestPreview};
 use hyper::body::Incoming;
@@ -30,6 +30,7 @@
 use crate::host::{sleep_until, Host, RelayedBatch};
 use crate::layout;
 use crate::logging::LogLine;
+use crate::passing;
 
 /// Time limit of connecting to a peer, or to an engine for a control call.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -54,6 +55,8 @@
 const ADAPTER_PATH: &str = "/adapter";
 const PERMIT_PATH: &str = "/permit";
 const PREFILL_PATH: &str = "/prefill";
+/// Path at which daemons ask for a later layout than theirs. Earlier builds only know the other one.
+const LAYOUT_QUERY_PATH: &str = "/layout-query";
 const LAYOUT_PATH: &str = "/layout";
 /// Path at which operators ask where a request would go.
 const PREVIEW_PATH: &str = "/preview";
@@ -81,11 +84,17 @@
             continue;
         }
         let asked_at = boot_time();
-        let report = host.dispatcher.borrow_mut().report(asked_at, host.known_revision.get());
+        let mut report = host.dispatcher.borrow_mut().report(asked_at, host.known_revision.get());
+        passing::state_layout(&host, &mut report);
         let mut reply = send_report(&host, &report).await;
         let now = boot_time();
         match &mut reply {
-            Some(reply) => queue_relayed(&host, asked_at, reply.changes.take()),
+            Some(reply) => {
+                if let Some(update) = &reply.layout_update {
+                    passing::apply_update(&host, update);
+                }
+                queue_relayed(&host, asked_at, reply.changes.take());
+            }
             None => record_leader_silence(&host),
         }
         if is_leader_heard != reply.is_some() {
@@ -132,7 +141,7 @@
 }
 
 /// Sends a report to the leader, which may be this daemon itself.
-async fn send_report(host: &Host, report: &SyncReport) -> Option<SyncReply> {
+async fn send_report(host: &Rc<Host>, report: &SyncReport) -> Option<SyncReply> {
     if host.leader_state.borrow().is_some() {
         return apply_report(host, report);
     }
@@ -141,11 +150,12 @@
 }
 
 /// Applies a daemon's report and returns the reply, or `None` if this daemon doesn't lead.
-fn apply_report(host: &Host, report: &SyncReport) -> Option<SyncReply> {
+fn apply_report(host: &Rc<Host>, report: &SyncReport) -> Option<SyncReply> {
     let mut state = host.leader_state.borrow_mut();
     let state = state.as_mut()?;
     layout::record_stated_version(host, state, report);
-    let reply = state.leader.handle_sync(boot_time(), report);
+    let mut reply = state.leader.handle_sync(boot_time(), report);
+    reply.layout_update = passing::update_for(host, report);
     host.plan_due.notify_one();
     Some(reply)
 }
@@ -284,11 +294,25 @@
     Some(body.to_vec())
 }
 
-/// Returns the layout for a peer, unless this daemon has only an older one.
+/// Asks a daemon for a later layout than this one's. Returns `None` if it declines, or if nothing arrives
+/// for as long as `limit`.
+pub(crate) async fn query_layout(
+    host: &Host,
+    address: SocketAddr,
+    query: &LayoutQuery,
+    limit: Duration,
+) -> Option<LayoutAnswer> {
+    let has_begun = Cell::new(false);
+    let limits = CallLimits { silence: limit, total: MAX_LAYOUT_TIME, has_begun: &has_begun };
+    let body = post_to_peer(host, address, LAYOUT_QUERY_PATH, query, &limits).await?;
+    from_json(&body)
+}
+
+/// Returns the whole layout for a peer of an earlier build, unless this daemon has only an older one.
 fn relay_layout(host: &Host, request: &LayoutRequest) -> Option<Bytes> {
-    let item = host.layout_item.borrow();
-    let item = item.as_ref().filter(|item| item.revision >= request.revision)?;
-    Some(Bytes::from(item.value.clone()))
+    let history = host.layout_history.borrow();
+    history.revision().filter(|revision| *revision >= request.revision)?;
+    history.value().map(Bytes::copy_from_slice)
 }
 
 /// Sends a message to a peer and returns the body of its answer. Returns `None` if that fails or
@@ -344,6 +368,9 @@
     let answer = match path.as_str() {
         SYNC_PATH => from_json(&body).and_then(|report| to_json(&apply_report(&host, &report)?)),
         LAYOUT_PATH => from_json(&body).and_then(|ask| relay_layout(&host, &ask)),
+        LAYOUT_QUERY_PATH => {
+            from_json(&body).and_then(|query| to_json(&passing::answer_query(&host, &query)?))
+        }
         PREFILL_PATH => from_json(&body).and_then(|ask| to_json(&schedule_prefill(&host, &ask)?)),
         PERMIT_PATH => from_json(&body).and_then(|ask| to_json(&issue_permit(&host, &ask)?)),
         ADAPTER_PATH => match from_json::<AdapterRequest>(&body) {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -8,6 +8,7 @@
     parse_address, parse_duration, IniReader, KnownSection, SettingsError, ADDRESS_FORM, SIZE_FORM,
 };
 use log::LevelFilter;
+use patch::ByteRate;
 
 use crate::host::{RELAY_MARGIN, SEND_MARGIN};
 
@@ -18,6 +19,7 @@
             "host",
             "domain",
             "cpu_share",
+            "link_mbps",
             "caller_listen",
             "ready_listen",
             "peer_listen",
@@ -71,6 +73,13 @@
 const EVACUATION_WAIT_PERCENT: u64 = 30;
 const EVACUATION_PAUSE_PERCENT: u64 = 15;
 
+/// Default of `link_mbps`.
+const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+
+/// A daemon passes layouts on to others at its link's rate divided by this.
+const TRANSFER_DIVISOR: f64 = 2.0;
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// Default of `buffers`.
 const DEFAULT_BUFFERS: ByteSize = ByteSize(32 << 20);
 
@@ -83,6 +92,8 @@
     pub domain: DomainName,
     /// Number of cores that the daemon may use.
     pub cpu_share: f64,
+    /// Rate of the host's network link, in megabits per second.
+    pub link_mbps: f64,
     /// Address on which clients connect.
     pub caller_listen: SocketAddr,
     /// Address on which the balancer probes whether the daemon is ready.
@@ -152,6 +163,11 @@
         text.lines().any(|line| line.trim() == "[front]")
     }
 
+    /// Returns the rate at which the daemon passes layouts on to others.
+    pub fn transfer_rate(&self) -> ByteRate {
+        ByteRate((self.link_mbps * BYTES_PER_MEGABIT / TRANSFER_DIVISOR) as u64)
+    }
+
     /// Returns the greatest age of relayed changes on which the daemon relies.
     pub fn max_relay_age(&self) -> Duration {
         let bound = self.evacuation.unwrap_or(self.drain).min(self.drain);
@@ -176,6 +192,7 @@
         let store = reader.required("store", "address", ADDRESS_FORM, parse_address);
         let number = |text: &str| text.parse::<f64>().ok().filter(|number| *number >= 0.0);
         let cpu_share = reader.value("front", "cpu_share", "a number of cores", number);
+        let link_mbps = reader.value("front", "link_mbps", "megabits per second", number);
         let schedule_prefill =
             reader.value("limits", "schedule_prefill", "true or false", |text| text.parse().ok());
         let mut ratio = |key, default| {
@@ -234,6 +251,7 @@
             host: host?,
             domain: domain?,
             cpu_share: cpu_share.unwrap_or(1.0),
+            link_mbps: link_mbps.unwrap_or(DEFAULT_LINK_MBPS),
             caller_listen: caller_listen?,
             ready_listen: ready_listen?,
             peer_listen: peer_listen?,
--- a/deploy/settings.ini.tpl
+++ b/deploy/settings.ini.tpl
@@ -4,6 +4,7 @@
 host = {{nodeName}}
 domain = {{zone}}
 cpu_share = {{limits.cpuShare}}
+link_mbps = {{limits.linkMbps}}
 caller_listen = {{listen.front}}
 ready_listen = {{listen.ready}}
 peer_listen = {{listen.control}}
