Let a few daemons read a layout for all while the leader is silent or slow

Callers were refused by old configurations for many seconds, beside a storm of changes and a busy link to the store, also with layouts passed on as patches.

Cause: a feedback. A busy link makes the leader's state of the store old; daemons that rely on it then read everything themselves, each with the whole layout, once for each of its versions, and check the layout at the store besides. All of them do so at the same moment, which makes the link busier. The class of fault: a fallback that costs more of the resource whose shortage triggers it, multiplied by the fleet.

Three daemons and one for each 32 are readers now; a check asks the leader, if it is heard, and readers first, waits while one of them is checking, and goes to the store itself after a quarter of the bound. Large layouts are no part of a daemon's own watch; a leader reads the latest of several versions only. A check asks for changes after those of the layout that are known, instead of after the position of all keys, so that it doesn't read a layout again that came as a patch, and finds one that was passed over.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -266,6 +266,11 @@
     /// Time since the answering daemon's layout was known to be the latest one, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub age_ms: Option<u64>,
+    /// Revision up to which the answering daemon knows all changes of the layout.
+    pub covered: Revision,
+    /// Whether the answering daemon, or one on which it relies, is checking the layout at the store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_checking: bool,
     /// The answering daemon's layout, if it is later than the sender's.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub update: Option<LayoutUpdate>,
--- a/crates/lead/src/layout.rs
+++ b/crates/lead/src/layout.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{Revision, Time};
 
 /// A daemon checks its layout when it hasn't been confirmed for the bound divided by this.
 const CHECK_DIVISOR: u32 = 2;
@@ -13,9 +13,10 @@
 const TIMEOUT_DIVISOR: u32 = 8;
 /// Other daemons are asked for at most the bound divided by this.
 const PEER_DIVISOR: u32 = 6;
-/// A daemon that isn't a reader waits for the readers' checks, and for their answers, for the bound
-/// divided by this.
+/// A daemon that isn't a reader asks readers again after the bound divided by the first of these, and checks
+/// its layout itself after the bound divided by the second one.
 const READER_DIVISOR: u32 = 16;
+const PATIENCE_DIVISOR: u32 = 4;
 /// Pauses after a check that has failed, and after another one, as divisors of the bound.
 const FAILURE_DIVISOR: u32 = 4;
 const PAUSE_DIVISOR: u32 = 16;
@@ -49,6 +50,8 @@
 pub struct LayoutFreshness {
     bound: Duration,
     confirmed_at: Option<Time>,
+    /// Revision up to which all changes of the layout are known.
+    covered: Revision,
     /// Whether the leader has left a report unanswered since the last confirmation.
     is_leader_silent: bool,
     /// Whether the last check has failed.
@@ -63,6 +66,7 @@
         LayoutFreshness {
             bound,
             confirmed_at: None,
+            covered: Revision(0),
             is_leader_silent: false,
             has_failed: false,
             retry_at: Time::ZERO,
@@ -77,6 +81,26 @@
         }
     }
 
+    /// Returns the revision up to which all changes of the layout are known. A check asks for later ones.
+    pub fn covered(&self) -> Revision {
+        self.covered
+    }
+
+    /// Records that all changes of the layout up to the revision `until` are known.
+    pub fn cover(&mut self, until: Revision) {
+        self.covered = self.covered.max(until);
+    }
+
+    /// Records that all changes of the layout after one revision up to another are known. Returns whether
+    /// none between those that were known before and these may be missing.
+    pub fn extend(&mut self, after: Revision, until: Revision) -> bool {
+        let is_complete = self.covered >= after;
+        if is_complete {
+            self.cover(until);
+        }
+        is_complete
+    }
+
     /// Records that the leader, on whose changes the daemon relies, left a report unanswered.
     pub fn record_silence(&mut self) {
         self.is_leader_silent = true;
@@ -90,6 +114,11 @@
         self.has_failed = has_failed;
     }
 
+    /// Returns whether the leader has left a report unanswered since the last confirmation.
+    pub fn is_leader_silent(&self) -> bool {
+        self.is_leader_silent
+    }
+
     /// Returns whether the last check has failed, so that the next one should begin with what has the best
     /// prospects.
     pub fn has_failed(&self) -> bool {
@@ -103,8 +132,14 @@
 
     /// Returns when the daemon should check its layout unless it is confirmed before.
     pub fn next_check(&self) -> Option<Time> {
-        let divisor = if self.is_leader_silent { SILENCE_DIVISOR } else { CHECK_DIVISOR };
-        self.confirmed_at.map(|at| (at + self.bound / divisor).max(self.retry_at))
+        self.confirmed_at.map(|at| (at + self.bound / self.check_divisor()).max(self.retry_at))
+    }
+
+    fn check_divisor(&self) -> u32 {
+        match self.is_leader_silent {
+            true => SILENCE_DIVISOR,
+            false => CHECK_DIVISOR,
+        }
     }
 
     /// Returns how long a check waits for changes of the layout before it reads the whole layout,
@@ -113,15 +148,19 @@
         self.bound / TIMEOUT_DIVISOR
     }
 
-    /// Returns how long a daemon that isn't a reader waits for the readers to check, and then for their
-    /// answers.
-    pub fn reader_timeout(&self) -> Duration {
+    /// Returns the pause before readers are asked, and how long they are waited for.
+    pub fn reader_pause(&self) -> Duration {
         self.bound / READER_DIVISOR
     }
 
-    /// Returns whether a layout that was the latest one at `at` needs no check of its own now.
+    /// Returns for how long a daemon relies on readers before it checks its layout itself.
+    pub fn reader_patience(&self) -> Duration {
+        self.bound / PATIENCE_DIVISOR
+    }
+
+    /// Returns whether a layout that was the latest one at `at` needs no check now.
     pub fn is_recent(&self, now: Time, at: Time) -> bool {
-        now.since(at) < self.bound / SILENCE_DIVISOR
+        now.since(at) < self.bound / self.check_divisor()
     }
 
     /// Returns how long other daemons are asked for a newer layout when the store doesn't answer.
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -43,6 +43,11 @@
         registered.for_each(|(host, address)| self.insert(host, address));
     }
 
+    /// Returns the number of registered daemons.
+    pub fn count(&self) -> usize {
+        self.addresses.len()
+    }
+
     /// Returns the address of a registered daemon.
     pub fn address(&self, host: &Name) -> Option<SocketAddr> {
         self.addresses.get(host).copied()
--- a/crates/lead/tests/layout_checks.rs
+++ b/crates/lead/tests/layout_checks.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{Revision, Time};
 use fleet::ChangeBatch;
 use mango_lead::{LayoutFreshness, RelayView};
 
@@ -170,3 +170,48 @@
     freshness.confirm(at(500));
     assert_eq!(freshness.age(at(7_000)), Some(Duration::from_secs(6)), "an older confirmation");
 }
+
+/// Guards against a layout that counts as the latest one although changes were passed over: those that a
+/// daemon left out because other daemons get them at less cost.
+#[test]
+fn passed_over_changes() {
+    let at = Time::from_millis;
+    let mut freshness = LayoutFreshness::new(Duration::from_secs(4));
+    freshness.cover(Revision(10));
+    freshness.confirm(at(1_000));
+    // Changes from 10 to 30 are known, those to 50 without the layout's, and those to 60 again with it.
+    assert!(freshness.extend(Revision(10), Revision(30)));
+    assert!(!freshness.extend(Revision(50), Revision(60)));
+    assert_eq!(freshness.covered(), Revision(30));
+    assert_eq!(freshness.next_check(), Some(at(3_000)), "still due");
+    // A check finds those after 30.
+    freshness.cover(Revision(60));
+    assert!(freshness.extend(Revision(60), Revision(70)));
+    assert!(freshness.extend(Revision(40), Revision(65)), "what is known already");
+    assert_eq!(freshness.covered(), Revision(70));
+    // A restored store begins a later era with lower numbers.
+    let restored = Revision::in_era(base::StoreEra(1), 20);
+    assert!(!freshness.extend(restored, restored));
+    freshness.cover(restored);
+    assert_eq!(freshness.covered(), restored);
+}
+
+/// Guards against daemons that take another's layout for the latest one although that daemon hasn't checked
+/// it in time either.
+#[test]
+fn stale_readers() {
+    let at = Time::from_millis;
+    let mut freshness = LayoutFreshness::new(Duration::from_secs(4));
+    freshness.confirm(at(0));
+    for (is_silent, limit_ms) in [(false, 2_000), (true, 1_000)] {
+        if is_silent {
+            freshness.record_silence();
+        }
+        let now = at(10_000);
+        assert!(freshness.is_recent(now, at(10_001 - limit_ms)), "{limit_ms}");
+        assert!(!freshness.is_recent(now, at(10_000 - limit_ms)), "{limit_ms}");
+    }
+    // Relying on readers that don't answer leaves half of the bound for the daemon's own check.
+    let waited = freshness.reader_patience() + freshness.reader_pause();
+    assert!(at(1_000) + waited <= at(2_500));
+}
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -87,6 +87,8 @@
     Lost,
     /// The same, and nothing arrived for too long.
     Silent,
+    /// The answer is longer than its limit.
+    TooLong,
 }
 
 /// Time limits of a call whose answer may be large.
@@ -199,13 +201,14 @@
         let (head, body) = exchange.await.map_err(|_| ConnError::Silent)??.into_parts();
         limits.has_begun.set(true);
         if body.size_hint().lower() > limit as u64 {
-            return Err(log_unread(address, BodyError::TooLong));
+            return Err(ConnError::TooLong);
         }
         let buffer = buffers.open(BufferOwner::Server(address));
         let reading = read_steady_body(body, limit, limits.silence, buffer);
         match tokio::time::timeout(limits.total, reading).await {
             Ok(Ok(body)) => Ok(Response::from_parts(head, body)),
             Ok(Err(BodyError::Stalled)) | Err(_) => Err(ConnError::Silent),
+            Ok(Err(BodyError::TooLong)) => Err(ConnError::TooLong),
             Ok(Err(error)) => Err(log_unread(address, error)),
         }
     }
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -157,7 +157,7 @@
         let response = match conn.exchange(out).await {
             Ok(response) => response,
             Err(ConnError::NotSent) => return AttemptOutcome::End(AttemptEnd::NotSent),
-            Err(ConnError::Lost | ConnError::Silent) => {
+            Err(ConnError::Lost | ConnError::Silent | ConnError::TooLong) => {
                 return AttemptOutcome::End(AttemptEnd::Lost)
             }
         };
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -21,7 +21,7 @@
 use crate::evidence::{self, EVIDENCE_PREFIX};
 use crate::exchange::{log_cold_changes, log_ignored_cold};
 use crate::host::{sleep_until, Host};
-use crate::layout::{self, apply_layout, confirm_layout, LayoutSource};
+use crate::layout::{self, apply_layout, confirm_layout, extend_layout, LayoutSource};
 use crate::logging::LogLine;
 use crate::origins::{self, MIX_PREFIX, RECORD_PREFIX};
 use crate::passing;
@@ -52,6 +52,72 @@
 /// Prefix of all keys that are followed.
 const ALL_PREFIX: &str = "";
 
+/// Size of a layout from which daemons that don't lead watch the other keys by themselves.
+const LARGE_LAYOUT_BYTES: usize = 64 << 10;
+/// Largest answer of the watch of all keys, in which each change of the layout repeats it. A leader's may be
+/// as large as one change.
+const MAX_CHANGES_BYTES: usize = 256 << 10;
+
+/// Changes of the store.
+struct FollowedReply {
+    reply: WatchReply,
+    /// Whether those of the layout are among them.
+    has_layout: bool,
+}
+
+/// Watches the store for changes of all keys. Where each change of the layout would be sent to every daemon
+/// at once, those of the layout are left out: its own check gets it at less cost. A leader, which has to
+/// relay it, reads the latest one instead of several.
+async fn watch_store(
+    host: &Host,
+    after: Revision,
+    wait: Duration,
+) -> Result<FollowedReply, StoreError> {
+    let is_leading = host.leader_state.borrow().is_some();
+    let has_large_layout =
+        host.layout_history.borrow().value().is_some_and(|value| value.len() >= LARGE_LAYOUT_BYTES);
+    if is_leading || !has_large_layout {
+        let one_change = if is_leading { layout::max_change_bytes(host) } else { 0 };
+        let limits = (host.store.watch_limit(wait), MAX_CHANGES_BYTES.max(one_change));
+        let has_begun = &host.is_receiving_changes;
+        has_begun.set(false);
+        let reply = host.store.watch_noting(ALL_PREFIX, after, wait, limits, has_begun).await;
+        has_begun.set(false);
+        match reply {
+            Err(StoreError::TooLong) => {}
+            reply => return Ok(FollowedReply { reply: reply?, has_layout: true }),
+        }
+    }
+    let wait = if is_leading { NO_WAIT } else { wait };
+    let mut reply = host.store.watch(TARGET_PREFIX, after, wait).await?;
+    for prefix in [DAEMON_PREFIX, EVACUATION_PREFIX] {
+        reply = merge_replies(reply, host.store.watch(prefix, after, NO_WAIT).await?);
+    }
+    if let (true, WatchReply::Changes(events, _)) = (is_leading, &mut reply) {
+        let (limit, has_begun) = (host.settings.call_timeout, &host.is_receiving_changes);
+        let layout = host.store.read_key_within(LAYOUT_KEY, limit, has_begun).await;
+        has_begun.set(false);
+        let layout = layout?;
+        events.extend(layout.filter(|item| item.revision > after).map(KeyEvent::Put));
+    }
+    Ok(FollowedReply { reply, has_layout: is_leading })
+}
+
+/// Joins the changes of keys with two prefixes, up to the revision to which both are known. Later ones come
+/// with the next watch.
+fn merge_replies(first: WatchReply, second: WatchReply) -> WatchReply {
+    match (first, second) {
+        (WatchReply::Changes(mut events, until), WatchReply::Changes(more, more_until)) => {
+            let until = until.min(more_until);
+            events.extend(more);
+            events.retain(|event| revision_of(event) <= until);
+            events.sort_by_key(revision_of);
+            WatchReply::Changes(events, until)
+        }
+        (WatchReply::Compacted, _) | (_, WatchReply::Compacted) => WatchReply::Compacted,
+    }
+}
+
 /// State of a daemon that follows the store.
 struct StoreFollower {
     host: Rc<Host>,
@@ -150,7 +216,7 @@
         });
         host.has_listed.set(true);
         host.unread_values.borrow_mut().clear();
-        confirm_layout(&host, asked_at);
+        confirm_layout(&host, revision, asked_at);
         host.confirm_changes(asked_at);
         self.plan.record_snapshot(now);
         self.mark_list_fresh(asked_at);
@@ -224,6 +290,7 @@
             let read_at = relayed.read_at();
             let batch = relayed.batch;
             let (until, batch_age_ms) = (batch.until, batch.age_ms);
+            let known = self.revision;
             // A batch that begins after this revision leaves a gap; the next report asks for it
             // again.
             if let Some(changes) = batch.since(self.revision) {
@@ -234,7 +301,12 @@
                     changes.into_iter().map(FollowedChange::from).collect(),
                     until,
                 );
-                confirm_layout(&self.host, read_at);
+                // A leader with the same layout also knows the changes that this daemon has left out.
+                if relayed.version == Some(self.host.dispatcher.borrow().version()) {
+                    confirm_layout(&self.host, until, read_at);
+                } else {
+                    extend_layout(&self.host, (known, until), read_at);
+                }
                 self.host.confirm_changes(read_at);
             }
         }
@@ -254,7 +326,7 @@
         let host = self.host.clone();
         let Some(read) = host.unread_values.borrow_mut().begin_read(boot_time()) else { return };
         let is_layout = read.class == ValueClass::Layout;
-        let asked_at = boot_time();
+        let (asked_at, known) = (boot_time(), self.revision);
         let limit = if is_layout { LAYOUT_READ_TIMEOUT } else { host.settings.call_timeout };
         let has_begun = Cell::new(false);
         let call = async {
@@ -283,7 +355,7 @@
             }
         };
         match item {
-            Ok((item, source)) => self.apply_read(&read, asked_at, item, source),
+            Ok((item, source)) => self.apply_read(&read, (known, asked_at), item, source),
             Err(error) => {
                 let key = read.key.as_str();
                 LogLine::new("value_unread").with("key", key).text("error", &error).info();
@@ -295,17 +367,18 @@
                 if let Some(value) = relayed {
                     let key = read.key.clone();
                     let item = KeyValue { key, value, revision: read.revision };
-                    self.apply_read(&read, asked_at, Some(item), LayoutSource::Leader);
+                    self.apply_read(&read, (known, asked_at), Some(item), LayoutSource::Leader);
                 }
             }
         }
     }
 
-    /// Applies a value that the leader left out.
+    /// Applies a value that the leader left out. It was asked for when all changes up to the revision
+    /// `known` had been applied.
     fn apply_read(
         &mut self,
         read: &ValueRead,
-        asked_at: Time,
+        (known, asked_at): (Revision, Time),
         item: Option<KeyValue>,
         source: LayoutSource,
     ) {
@@ -335,7 +408,7 @@
         }
         // The leader has at least the revision that was noted, but maybe not the latest one.
         if read.class == ValueClass::Layout && source == LayoutSource::Read {
-            confirm_layout(&self.host, asked_at);
+            confirm_layout(&self.host, known, asked_at);
         }
     }
 
@@ -366,7 +439,7 @@
             false => (host.settings.watch_wait, host.settings.watch_pause),
         };
         let (asked_at, after) = (boot_time(), self.revision);
-        let mut call = std::pin::pin!(host.store.watch(ALL_PREFIX, after, wait));
+        let mut call = std::pin::pin!(watch_store(&host, after, wait));
         let reply = loop {
             tokio::select! {
                 reply = &mut call => break reply?,
@@ -379,6 +452,7 @@
                 return Ok(());
             }
         };
+        let FollowedReply { reply, has_layout } = reply;
         let (events, revision) = match reply {
             WatchReply::Changes(events, revision) => (events, revision),
             WatchReply::Compacted => {
@@ -401,7 +475,9 @@
         // The store answers a watch without changes at the end of its wait.
         let has_waited = !has_events && now.since(asked_at) >= wait;
         let read_at = if has_waited { asked_at + wait } else { asked_at };
-        confirm_layout(&host, read_at);
+        if has_layout {
+            extend_layout(&host, (after, revision), read_at);
+        }
         host.confirm_changes(read_at);
         self.mark_list_fresh(read_at);
         if has_events {
--- a/crates/serve/src/handover.rs
+++ b/crates/serve/src/handover.rs
@@ -120,7 +120,9 @@
                 if !may_ask_next {
                     let code = match error {
                         ConnError::Silent => ResultCode::TargetTimeout,
-                        ConnError::NotSent | ConnError::Lost => ResultCode::OutcomeUnknown,
+                        ConnError::NotSent | ConnError::Lost | ConnError::TooLong => {
+                            ResultCode::OutcomeUnknown
+                        }
                     };
                     return HandoverEnd::Unknown(Refusal::new(code, "lost at another host"));
                 }
--- a/crates/serve/src/host.rs
+++ b/crates/serve/src/host.rs
@@ -8,7 +8,7 @@
 use base::{ByteSize, Name, Revision, SortedMap, Time};
 use buffer::BufferPool;
 use daemon::boot_time;
-use fleet::ChangeBatch;
+use fleet::{ChangeBatch, LayoutVersion};
 use front::{DispatcherConfig, RequestDispatcher, StopSchedule};
 use lead::{
     HelperBook, LayoutFreshness, LayoutLag, ListValidity, PeerBook, RelayView, SeatRoster,
@@ -47,6 +47,8 @@
     /// When the report was sent.
     pub(crate) asked_at: Time,
     pub(crate) batch: ChangeBatch,
+    /// Version of the leader's layout, if the leader states it.
+    pub(crate) version: Option<LayoutVersion>,
 }
 
 impl RelayedBatch {
@@ -116,6 +118,10 @@
     pub(crate) layout_history: RefCell<ValueHistory>,
     /// What this daemon may pass on of it.
     pub(crate) transfer_budget: RefCell<TransferBudget>,
+    /// Whether changes of all keys, or the layout for a leader that relays it, are arriving from the store.
+    pub(crate) is_receiving_changes: Cell<bool>,
+    /// Whether the layout is being checked at the store, by this daemon or by one on which it relies.
+    pub(crate) is_checking_layout: Cell<bool>,
     /// Whether a layout is being fetched from a daemon that has a later one than this leader.
     pub(crate) is_fetching_layout: Cell<bool>,
     /// How recently the layout was known to be the latest one.
@@ -204,6 +210,8 @@
             unread_values: RefCell::new(UnreadValues::new(settings.watch_pause)),
             layout_history: RefCell::default(),
             transfer_budget: RefCell::new(TransferBudget::new(settings.transfer_rate())),
+            is_receiving_changes: Cell::new(false),
+            is_checking_layout: Cell::new(false),
             is_fetching_layout: Cell::new(false),
             layout_freshness: Cell::new(LayoutFreshness::new(settings.apply)),
             layout_lag: Cell::new(LayoutLag::new(settings.apply)),
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -11,7 +11,7 @@
 use daemon::boot_time;
 use fleet::{ColdSetting, FleetLayout, LayoutVersion, SyncReport};
 use futures::stream::{FuturesUnordered, StreamExt};
-use lead::{LayoutSender, LayoutVerdict, ValueClass};
+use lead::{LayoutSender, LayoutVerdict, PeerBook, ValueClass};
 use node::{KeyEvent, KeyValue};
 use platform::document::{read_layout, LAYOUT_KEY};
 use platform::store::WatchReply;
@@ -22,15 +22,16 @@
 use crate::host::{sleep_until, Host};
 use crate::logging::LogLine;
 use crate::orders::{self, LeaderState};
-use crate::passing::{self, PeerLayout};
+use crate::passing;
 use crate::peer;
 use crate::store::StoreError;
 
 /// Number of daemons that are asked for a newer layout if the store doesn't answer a check.
 const PEERS_PER_CHECK: usize = 4;
-/// Number of daemons whose checks go to the store. The others ask some of them, so that a large layout
-/// isn't read by the whole fleet at once.
-const READERS: usize = 8;
+/// Number of daemons whose checks go to the store: this many, and one more for so many daemons. The others
+/// ask some of them, so that a large layout isn't read by the whole fleet at once.
+const MIN_READERS: usize = 3;
+const DAEMONS_PER_READER: usize = 32;
 const READERS_PER_CHECK: usize = 2;
 
 /// Largest answer with one change of the layout, as a multiple of the layout in force, which is encoded in
@@ -85,7 +86,7 @@
     let in_force = host.dispatcher.borrow().layout().map(|layout| layout.version());
     let found = layout.as_ref().ok().map(FleetLayout::version);
     let verdict = LayoutVerdict::of(source.sender(), in_force, found);
-    if found.is_some() && found >= in_force {
+    if verdict.is_relayed() && found >= in_force {
         host.layout_history.borrow_mut().replace(item.revision, item.value.clone());
     }
     match layout {
@@ -240,34 +241,51 @@
     boot_time().since(begun_at)
 }
 
-/// Asks the store whether there is a newer layout and applies it. Returns whether there was one.
+/// Finds out whether there is a newer layout and applies it. Returns whether there was one.
 async fn check_layout(host: &Host, steps: &mut CheckSteps) -> Result<bool, StoreError> {
     let begun_at = boot_time();
-    if let Some(is_new) = check_at_readers(host).await {
-        steps.readers = Some(boot_time().since(begun_at));
-        return Ok(is_new);
+    if host.is_receiving_changes.get() {
+        sleep_until(begun_at + host.layout_freshness.get().reader_pause()).await;
+        return Ok(false);
     }
+    let result = match check_at_readers(host).await {
+        Some(is_new) => {
+            steps.readers = Some(boot_time().since(begun_at));
+            Ok(is_new)
+        }
+        None => {
+            host.is_checking_layout.set(true);
+            check_at_store(host, steps).await
+        }
+    };
+    host.is_checking_layout.set(false);
+    result
+}
+
+/// Asks the store whether there is a newer layout and applies it. Returns whether there was one.
+async fn check_at_store(host: &Host, steps: &mut CheckSteps) -> Result<bool, StoreError> {
     let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
     let freshness = host.layout_freshness.get();
     let limit = freshness.change_timeout();
     if !is_unread && !freshness.has_failed() {
         let asked_at = boot_time();
-        let known = host.known_revision.get();
+        let read = host.layout_history.borrow().revision().unwrap_or_default();
+        let known = freshness.covered().max(read);
         let limits = (limit, max_change_bytes(host));
         let reply = host.store.watch_within(LAYOUT_KEY, known, NO_WAIT, limits).await;
         steps.changes = Some(boot_time().since(asked_at));
         // Any failure, also a history that is gone, leaves the value itself to be read.
-        if let Ok(WatchReply::Changes(events, _)) = reply {
+        if let Ok(WatchReply::Changes(events, until)) = reply {
             let latest = events.into_iter().rev().find_map(|event| match event {
                 KeyEvent::Put(item) if item.key == LAYOUT_KEY => Some(item),
                 KeyEvent::Put(_) | KeyEvent::Deleted(..) => None,
             });
             let verdict = latest.map(|item| apply_checked(host, &item, LayoutSource::Read));
-            confirm_layout(host, asked_at);
+            confirm_layout(host, until, asked_at);
             return Ok(verdict == Some(LayoutVerdict::Newer));
         }
     }
-    let asked_at = boot_time();
+    let (asked_at, known) = (boot_time(), host.known_revision.get());
     let has_begun = Cell::new(false);
     let timeout = host.settings.call_timeout;
     let mut read = std::pin::pin!(host.store.read_key_within(LAYOUT_KEY, timeout, &has_begun));
@@ -295,7 +313,7 @@
         ask_peers(host).await;
     }
     let verdict = item?.map(|item| apply_checked(host, &item, LayoutSource::Read));
-    confirm_layout(host, asked_at);
+    confirm_layout(host, known, asked_at);
     Ok(verdict == Some(LayoutVerdict::Newer))
 }
 
@@ -306,41 +324,79 @@
     if freshness.has_failed() {
         return None;
     }
-    let readers = other_readers(host)?;
-    let limit = freshness.reader_timeout();
-    sleep_until(boot_time() + limit).await;
-    let asked_at = boot_time();
-    let ask = |address| passing::query(host, address, limit);
-    let mut answers: FuturesUnordered<_> = readers.into_iter().map(ask).collect();
-    while let Some(answer) = answers.next().await {
-        let Some(PeerLayout { item, age: Some(age) }) = answer else { continue };
-        let verdict = item.map(|item| apply_checked(host, &item, LayoutSource::Peer));
-        let checked_at = asked_at - age;
-        let is_unread = host.unread_values.borrow().unread_since(ValueClass::Layout).is_some();
-        if freshness.is_recent(boot_time(), checked_at) && !is_unread {
-            confirm_layout(host, checked_at);
-            return Some(verdict == Some(LayoutVerdict::Newer));
+    let (pause, begun_at) = (freshness.reader_pause(), boot_time());
+    let (mut is_new, mut is_checked_elsewhere) = (false, false);
+    // A reader checks as soon as nobody before it does.
+    let is_reader = own_rank(host).is_some();
+    host.is_checking_layout.set(is_reader);
+    while let Some((readers, patience)) = other_readers(host) {
+        // A read that is in progress arrives sooner than one that begins now.
+        let patience = if is_checked_elsewhere { host.settings.apply } else { patience };
+        if boot_time().since(begun_at) >= patience {
+            break;
+        }
+        sleep_until(boot_time() + pause).await;
+        is_checked_elsewhere = false;
+        let asked_at = boot_time();
+        let ask = |address| passing::query(host, address, pause);
+        let mut answers: FuturesUnordered<_> = readers.into_iter().map(ask).collect();
+        while let Some(answer) = answers.next().await {
+            let Some(answer) = answer else { continue };
+            is_checked_elsewhere |= answer.is_checking;
+            // Daemons that rely on this one rely on the same reader.
+            host.is_checking_layout.set(is_reader || is_checked_elsewhere);
+            let verdict = answer.item.map(|item| apply_checked(host, &item, LayoutSource::Peer));
+            is_new |= verdict == Some(LayoutVerdict::Newer);
+            let checked_at = answer.age.map(|age| asked_at - age);
+            let is_recent = |at: &Time| host.layout_freshness.get().is_recent(boot_time(), *at);
+            let Some(checked_at) = checked_at.filter(is_recent) else { continue };
+            confirm_layout(host, answer.covered, checked_at);
+            if host.unread_values.borrow().unread_since(ValueClass::Layout).is_none() {
+                return Some(is_new);
+            }
         }
     }
     None
 }
 
-/// Returns some of the daemons that check for the others; `None` if this daemon is one of them, or if
-/// there are none.
-fn other_readers(host: &Host) -> Option<Vec<SocketAddr>> {
+fn count_readers(book: &PeerBook) -> usize {
+    MIN_READERS + book.count() / DAEMONS_PER_READER
+}
+
+/// Returns the number of readers before this daemon; `None` if it isn't one.
+fn own_rank(host: &Host) -> Option<usize> {
     let book = host.peer_book.borrow();
-    let mut readers = book.readers(READERS);
-    if readers.iter().any(|(name, _)| **name == host.settings.host) {
-        return None;
-    }
-    readers.shuffle(&mut rand::rng());
-    let asked: Vec<_> = readers.iter().take(READERS_PER_CHECK).map(|(_, at)| *at).collect();
-    (!asked.is_empty()).then_some(asked)
+    let readers = book.readers(count_readers(&book));
+    readers.iter().position(|(name, _)| **name == host.settings.host)
+}
+
+/// Returns daemons that check for this one, and for how long to rely on them; `None` if it must check
+/// first. A leader that is heard reads for all; without one, each reader relies on those before it.
+fn other_readers(host: &Host) -> Option<(Vec<SocketAddr>, Duration)> {
+    let (book, freshness) = (host.peer_book.borrow(), host.layout_freshness.get());
+    let is_leading = host.leader_state.borrow().is_some();
+    let leader = host.leader_entry.borrow().as_ref().map(|entry| entry.address);
+    let leader = leader.filter(|_| !is_leading && !freshness.is_leader_silent());
+    let mut readers = book.readers(count_readers(&book));
+    let patience = match own_rank(host) {
+        Some(rank) => {
+            readers.truncate(rank);
+            freshness.reader_pause()
+        }
+        None => {
+            readers.shuffle(&mut rand::rng());
+            readers.truncate(READERS_PER_CHECK);
+            freshness.reader_patience()
+        }
+    };
+    let readers = readers.into_iter().map(|(_, address)| address);
+    let asked: Vec<SocketAddr> = leader.into_iter().chain(readers).collect();
+    (!asked.is_empty()).then_some((asked, patience))
 }
 
 /// Returns the size of an answer with one change of the layout. An answer with several repeats the whole
 /// layout for each, so that reading the value is shorter.
-fn max_change_bytes(host: &Host) -> usize {
+pub(crate) fn max_change_bytes(host: &Host) -> usize {
     let known = host.layout_history.borrow().value().map_or(0, <[u8]>::len);
     MIN_CHANGE_BYTES + known * ENCODED_FACTOR
 }
@@ -393,8 +449,27 @@
     verdict
 }
 
-/// Records that the daemon has all changes of the store up to the time `at`.
-pub(crate) fn confirm_layout(host: &Host, at: Time) {
+/// Records that the daemon knows all changes of the layout up to a revision, which the store had at the
+/// time `at` or later.
+pub(crate) fn confirm_layout(host: &Host, until: Revision, at: Time) {
+    let mut freshness = host.layout_freshness.get();
+    freshness.cover(until);
+    host.layout_freshness.set(freshness);
+    confirm_at(host, at);
+}
+
+/// Records that the daemon knows all changes of the store after one revision up to another, which the
+/// store had at the time `at` or later.
+pub(crate) fn extend_layout(host: &Host, (after, until): (Revision, Revision), at: Time) {
+    let mut freshness = host.layout_freshness.get();
+    let is_complete = freshness.extend(after, until);
+    host.layout_freshness.set(freshness);
+    if is_complete {
+        confirm_at(host, at);
+    }
+}
+
+fn confirm_at(host: &Host, at: Time) {
     // A layout that was left out of the changes and not read yet is not in force.
     if host.unread_values.borrow().unread_since(ValueClass::Layout).is_none() {
         let mut freshness = host.layout_freshness.get();
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -224,6 +224,8 @@
             order_reply(answer.status().as_u16())
         }
         Ok(Err(ConnError::NotSent)) => OrderReply::NotSent,
-        Ok(Err(ConnError::Lost | ConnError::Silent)) | Err(_) => OrderReply::Unknown,
+        Ok(Err(ConnError::Lost | ConnError::Silent | ConnError::TooLong)) | Err(_) => {
+            OrderReply::Unknown
+        }
     }
 }
--- a/crates/serve/src/passing.rs
+++ b/crates/serve/src/passing.rs
@@ -102,10 +102,12 @@
 pub(crate) fn answer_query(host: &Host, query: &LayoutQuery) -> Option<LayoutAnswer> {
     let now = boot_time();
     let version = host.dispatcher.borrow().version();
-    let age = host.layout_freshness.get().age(now);
+    let freshness = host.layout_freshness.get();
+    let (age, covered) = (freshness.age(now), freshness.covered());
     let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    let is_checking = host.is_checking_layout.get() || host.is_receiving_changes.get();
     if query.version >= version {
-        return Some(LayoutAnswer { age_ms, update: None });
+        return Some(LayoutAnswer { age_ms, covered, is_checking, update: None });
     }
     let mut history = host.layout_history.borrow_mut();
     let (revision, patches) = (history.revision()?, history.patches_from(query.digest));
@@ -113,7 +115,8 @@
     if size > MAX_INLINE_BYTES && !host.transfer_budget.borrow_mut().try_spend(now, size) {
         return None;
     }
-    Some(LayoutAnswer { age_ms, update: Some(LayoutUpdate { version, revision, patches }) })
+    let update = LayoutUpdate { version, revision, patches };
+    Some(LayoutAnswer { age_ms, covered, is_checking, update: Some(update) })
 }
 
 /// What another daemon has answered.
@@ -122,6 +125,10 @@
     pub(crate) item: Option<KeyValue>,
     /// Time since the other daemon's layout was known to be the latest one.
     pub(crate) age: Option<Duration>,
+    /// Revision up to which the other daemon knows all changes of the layout.
+    pub(crate) covered: Revision,
+    /// Whether the layout is being checked at the store.
+    pub(crate) is_checking: bool,
 }
 
 /// Asks a daemon for a later layout. Returns `None` if nothing arrives for as long as `limit`, or if the
@@ -132,11 +139,15 @@
         digest: host.layout_history.borrow().digest(),
     };
     let answer = peer::query_layout(host, address, &query, limit).await?;
-    let item = match answer.update {
-        Some(update) => Some(unpack(host, &update)?),
+    // The layout may have arrived by another way meanwhile.
+    let in_force = host.dispatcher.borrow().version();
+    let item = match answer.update.as_ref().filter(|update| update.version > in_force) {
+        Some(update) => Some(unpack(host, update)?),
         None => None,
     };
-    Some(PeerLayout { item, age: answer.age_ms.map(Duration::from_millis) })
+    let age = answer.age_ms.map(Duration::from_millis);
+    let LayoutAnswer { covered, is_checking, .. } = answer;
+    Some(PeerLayout { item, age, covered, is_checking })
 }
 
 /// Asks the leader for a layout of at least this revision.
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use daemon::boot_time;
 use fleet::{
-    AdapterReply, AdapterRequest, ChangeBatch, LayoutAnswer, LayoutQuery, LayoutRequest, ModelRef,
-    PermitReply, PermitRequest, SyncReply, SyncReport,
+    AdapterReply, AdapterRequest, LayoutAnswer, LayoutQuery, LayoutRequest, ModelRef, PermitReply,
+    PermitRequest, SyncReply, SyncReport,
 };
 use front::{FetchEnd, PermitEnd, PreviewError, PreviewQuery, RequestPreview};
 use hyper::body::Incoming;
@@ -93,7 +93,7 @@
                 if let Some(update) = &reply.layout_update {
                     passing::apply_update(&host, update);
                 }
-                queue_relayed(&host, asked_at, reply.changes.take());
+                queue_relayed(&host, asked_at, reply);
             }
             None => record_leader_silence(&host),
         }
@@ -118,11 +118,12 @@
 }
 
 /// Queues the changes that the leader relayed for the follower.
-fn queue_relayed(host: &Host, asked_at: Time, batch: Option<ChangeBatch>) {
+fn queue_relayed(host: &Host, asked_at: Time, reply: &mut SyncReply) {
+    let (batch, version) = (reply.changes.take(), reply.layout);
     let mut view = host.relay_view.get();
     view.apply_reply(asked_at, batch.as_ref());
     host.relay_view.set(view);
-    let relayed = batch.map(|batch| RelayedBatch { asked_at, batch });
+    let relayed = batch.map(|batch| RelayedBatch { asked_at, batch, version });
     host.relayed_batches.borrow_mut().extend(relayed);
     host.relay_changed.notify_one();
 }
@@ -344,7 +345,7 @@
             host.conn_pool.borrow_mut().remove_all(address);
             None
         }
-        Err(ConnError::NotSent | ConnError::Lost) => None,
+        Err(ConnError::NotSent | ConnError::Lost | ConnError::TooLong) => None,
     }
 }
 
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -38,6 +38,9 @@
     /// The call may have been sent, but no answer arrived.
     #[error("no answer")]
     Lost,
+    /// The answer is longer than its limit.
+    #[error("answer too long")]
+    TooLong,
     /// The answer is from an earlier era of the store, so what it says is undone.
     #[error("answer of an earlier era")]
     Outdated,
@@ -143,22 +146,37 @@
         after: Revision,
         wait: Duration,
     ) -> Result<WatchReply, StoreError> {
-        let limit = (wait + WATCH_SLACK).max(self.timeout);
-        self.watch_within(prefix, after, wait, (limit, MAX_ANSWER_BYTES)).await
+        self.watch_within(prefix, after, wait, (self.watch_limit(wait), MAX_ANSWER_BYTES)).await
+    }
+
+    /// Returns how long nothing may arrive of a watch.
+    pub(crate) fn watch_limit(&self, wait: Duration) -> Duration {
+        (wait + WATCH_SLACK).max(self.timeout)
     }
 
     /// Like [`watch`](Self::watch), and fails if nothing arrives for as long as `silence`, or if the
     /// answer is longer than `max_bytes`.
     pub(crate) async fn watch_within(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+        limits: (Duration, usize),
+    ) -> Result<WatchReply, StoreError> {
+        self.watch_noting(prefix, after, wait, limits, &Cell::new(false)).await
+    }
+
+    /// Like [`watch_within`](Self::watch_within). Sets `has_begun` once the answer begins to arrive.
+    pub(crate) async fn watch_noting(
         &self,
         prefix: &str,
         after: Revision,
         wait: Duration,
         (silence, max_bytes): (Duration, usize),
+        has_begun: &Cell<bool>,
     ) -> Result<WatchReply, StoreError> {
         let call = store::watch_call(prefix, after, wait);
-        let has_begun = Cell::new(false);
-        let limits = CallLimits { silence, total: MAX_READ_TIME, has_begun: &has_begun };
+        let limits = CallLimits { silence, total: MAX_READ_TIME, has_begun };
         let (era, status, body) = self.call_within(&call, &limits, max_bytes).await?;
         match store::watch_reply(status, &body)? {
             // The changes since another revision with the same number.
@@ -276,6 +294,7 @@
             }
             Err(ConnError::NotSent) => Err(StoreError::NotSent),
             Err(ConnError::Lost) => Err(StoreError::Lost),
+            Err(ConnError::TooLong) => Err(StoreError::TooLong),
             Err(ConnError::Silent) => {
                 // The other idle connections are probably dead as well.
                 self.pool.borrow_mut().remove_all(self.address);
