--- a/crates/mangodeal/tests/mixed_builds.rs
+++ b/crates/mangodeal/tests/mixed_builds.rs
@@ -189,9 +189,10 @@
             front.executable = own_executable();
             front.spawn();
             front.wait_ready().await;
-            let mut view = views[*at].borrow_mut();
-            (view.ready_at, view.is_current) = (Some(Instant::now()), true);
-            drop(view);
+            {
+                let mut view = views[*at].borrow_mut();
+                (view.ready_at, view.is_current) = (Some(Instant::now()), true);
+            }
             tokio::time::sleep(ROLL_PAUSE).await;
         }
         tokio::time::sleep(APPLY_BOUND * 2).await;
