--- a/crates/lead/src/lag.rs
+++ b/crates/lead/src/lag.rs
@@ -14,7 +14,7 @@
 
 /// Compares the layout in force with the latest one that anyone has named.
 ///
-/// A change that got lost on its way, or that can't be read, leaves no trace at the daemon itself. Other
+/// A change that was lost, or that can't be read, leaves no trace at the daemon itself. Other
 /// daemons name the version that they have, so that the daemon notices that it lacks one.
 ///
 /// # Example
--- a/crates/mangodeal/tests/late_layout.rs
+++ b/crates/mangodeal/tests/late_layout.rs
@@ -168,8 +168,7 @@
     });
 }
 
-/// Guards against daemons that keep an old configuration for good after a change that got lost on its way
-/// to them.
+/// Guards against daemons that keep an old configuration for good after a change that they have missed.
 #[test]
 fn missed_change() {
     run(async {
--- a/crates/patch/tests/patch_chain.rs
+++ b/crates/patch/tests/patch_chain.rs
@@ -54,7 +54,7 @@
 }
 
 /// Guards against a patch that is applied to another version than its own, or whose data has been
-/// altered on its way.
+/// altered in transit.
 #[test]
 fn wrong_patches() {
     let versions: Vec<Vec<u8>> = (1..4).map(|version| document(50, version)).collect();
