Confirm a layout by the leader's only if the leader knows all changes

Callers were refused as an old configuration allows, on all daemons, until the next change. Daemons that watch the store themselves leave out the changes of a large layout, and the next leader has done so too. Others with its version counted all changes up to the end of its batch as known (`confirm_layout`), although the leader itself didn't. The leader's own check then asked readers, which it had just confirmed: they confirmed the old layout to each other for good. In addition a watch that began before the term and left out the layout was recorded for relaying as if it were complete.

The leader now states its version only if it knows all changes of the layout up to the end of the batch, so that the others' own checks become due, and records only complete watches.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -229,7 +229,8 @@
     pub cold: Vec<ColdStatement>,
     /// Store changes that the daemon lacks, if the leader has all of them.
     pub changes: Option<ChangeBatch>,
-    /// Version of the leader's layout; `None` before it has one, and in replies of earlier builds.
+    /// Version of the leader's layout; `None` before it has one, while it may lack a change before the end
+    /// of `changes`, and in replies of earlier builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub layout: Option<LayoutVersion>,
     /// The leader's layout, for a daemon that has an older one.
--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -461,7 +461,8 @@
                 return Ok(());
             }
         };
-        if let Some(state) = host.leader_state.borrow_mut().as_mut() {
+        // A term may have begun while those of the layout were left out. Others must not count them as known.
+        if let Some(state) = host.leader_state.borrow_mut().as_mut().filter(|_| has_layout) {
             // Daemons read single records of streams when they need them.
             let relayed = events.iter().filter(|event| !key_of(event).starts_with(RECORD_PREFIX));
             let changes = relayed.map(|event| self.to_store_change(event)).collect();
--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -9,7 +9,7 @@
 
 use base::{Revision, Time};
 use daemon::boot_time;
-use fleet::{ColdSetting, FleetLayout, LayoutVersion, SyncReport};
+use fleet::{ChangeBatch, ColdSetting, FleetLayout, LayoutVersion, SyncReport};
 use futures::stream::{FuturesUnordered, StreamExt};
 use lead::{LayoutSender, LayoutVerdict, PeerBook, ValueClass};
 use node::{KeyEvent, KeyValue};
@@ -469,6 +469,14 @@
     }
 }
 
+/// Returns whether the layout in force is the latest one up to the end of a batch that this leader relays.
+/// It may have left out changes before its term, as the other daemons have.
+pub(crate) fn is_covered(host: &Host, batch: Option<&ChangeBatch>) -> bool {
+    let is_read = host.unread_values.borrow().unread_since(ValueClass::Layout).is_none();
+    let covered = host.layout_freshness.get().covered();
+    is_read && batch.is_none_or(|batch| covered >= batch.until)
+}
+
 fn confirm_at(host: &Host, at: Time) {
     // A layout that was left out of the changes and not read yet is not in force.
     if host.unread_values.borrow().unread_since(ValueClass::Layout).is_none() {
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -156,6 +156,7 @@
     let state = state.as_mut()?;
     layout::record_stated_version(host, state, report);
     let mut reply = state.leader.handle_sync(boot_time(), report);
+    reply.layout = reply.layout.filter(|_| layout::is_covered(host, reply.changes.as_ref()));
     reply.layout_update = passing::update_for(host, report);
     host.plan_due.notify_one();
     Some(reply)
