Answer a declined query for a layout, so that nobody asks for the whole one

A daemon that had passed on as much as its link allows answered a query with status 503, as an earlier build does that doesn't know the path. The others then asked it for the whole layout instead, uncompressed and without a limit, over the link whose shortage was the reason.

It now answers with status 200, without an update and without an age, so that nothing is confirmed by it.

Seen failing: layout_decline declined_patches, status 503 in place of 200 before this change; passes with it.

--- a/crates/serve/src/passing.rs
+++ b/crates/serve/src/passing.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Answers another daemon's query. Returns `None` if this daemon has passed on too much already.
+/// Answers another daemon's query. Returns `None` if this daemon has no layout.
 pub(crate) fn answer_query(host: &Host, query: &LayoutQuery) -> Option<LayoutAnswer> {
     let now = boot_time();
     let version = host.dispatcher.borrow().version();
@@ -113,7 +113,8 @@
     let (revision, patches) = (history.revision()?, history.patches_from(query.digest));
     let size = total_size(&patches);
     if size > MAX_INLINE_BYTES && !host.transfer_budget.borrow_mut().try_spend(now, size) {
-        return None;
+        // Without an answer the other daemon would ask for the whole layout, as of an earlier build.
+        return Some(LayoutAnswer { age_ms: None, covered, is_checking, update: None });
     }
     let update = LayoutUpdate { version, revision, patches };
     Some(LayoutAnswer { age_ms, covered, is_checking, update: Some(update) })
