State no age for a layout whose latest change is unread

A change that the leader has left out counts as covered as soon as it is noted. A reader that had noted one, but not read it yet, answered queries with that revision and a recent age. The others took both for their own (`confirm_layout`), and their own checks then asked the store for later changes only, so that the noted one could stay unread at them while nobody else passed it on.

--- a/crates/serve/src/passing.rs
+++ b/crates/serve/src/passing.rs
@@ -103,7 +103,9 @@
     let now = boot_time();
     let version = host.dispatcher.borrow().version();
     let freshness = host.layout_freshness.get();
-    let (age, covered) = (freshness.age(now), freshness.covered());
+    // A change that was noted but not read is covered, yet the layout in force is older.
+    let is_read = host.unread_values.borrow().unread_since(ValueClass::Layout).is_none();
+    let (age, covered) = (freshness.age(now).filter(|_| is_read), freshness.covered());
     let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
     let is_checking = host.is_checking_layout.get() || host.is_receiving_changes.get();
     if query.version >= version {
