Clear the mark of an arriving answer when the call is given up

`watch_changes` gives up its watch when a value is due to be read. Dropped while the answer arrived, the watch left `is_receiving_changes` set until the next watch of all keys. A daemon that follows the leader, or that leaves out a large layout, makes none: it then never checked its layout again, and other daemons waited for it for the whole bound.

A guard clears the mark now, also in the leader's read of the layout.

--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -65,6 +65,22 @@
     has_layout: bool,
 }
 
+/// Marks that an answer arrives until the call ends, also one that is given up.
+struct ReceivingMark<'a>(&'a Cell<bool>);
+
+impl ReceivingMark<'_> {
+    fn new(has_begun: &Cell<bool>) -> ReceivingMark<'_> {
+        has_begun.set(false);
+        ReceivingMark(has_begun)
+    }
+}
+
+impl Drop for ReceivingMark<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 /// Watches the store for changes of all keys. Where each change of the layout would be sent to every daemon
 /// at once, those of the layout are left out: its own check gets it at less cost. A leader, which has to
 /// relay it, reads the latest one instead of several.
@@ -79,10 +95,9 @@
     if is_leading || !has_large_layout {
         let one_change = if is_leading { layout::max_change_bytes(host) } else { 0 };
         let limits = (host.store.watch_limit(wait), MAX_CHANGES_BYTES.max(one_change));
-        let has_begun = &host.is_receiving_changes;
-        has_begun.set(false);
-        let reply = host.store.watch_noting(ALL_PREFIX, after, wait, limits, has_begun).await;
-        has_begun.set(false);
+        let has_begun = ReceivingMark::new(&host.is_receiving_changes);
+        let reply = host.store.watch_noting(ALL_PREFIX, after, wait, limits, has_begun.0).await;
+        drop(has_begun);
         match reply {
             Err(StoreError::TooLong) => {}
             reply => return Ok(FollowedReply { reply: reply?, has_layout: true }),
@@ -94,10 +109,9 @@
         reply = merge_replies(reply, host.store.watch(prefix, after, NO_WAIT).await?);
     }
     if let (true, WatchReply::Changes(events, _)) = (is_leading, &mut reply) {
-        let (limit, has_begun) = (host.settings.call_timeout, &host.is_receiving_changes);
-        let layout = host.store.read_key_within(LAYOUT_KEY, limit, has_begun).await;
-        has_begun.set(false);
-        let layout = layout?;
+        let limit = host.settings.call_timeout;
+        let has_begun = ReceivingMark::new(&host.is_receiving_changes);
+        let layout = host.store.read_key_within(LAYOUT_KEY, limit, has_begun.0).await?;
         events.extend(layout.filter(|item| item.revision > after).map(KeyEvent::Put));
     }
     Ok(FollowedReply { reply, has_layout: is_leading })
