Limit what a chain of patches unpacks to

The number of patches in a chain was limited by their size only. A daemon that had missed 198 small changes of 456 KB got 198 patches and would have unpacked and hashed 90 MB for them in one go, on the thread that serves everything else; a message of a faulty peer could unpack to gigabytes.

A history now keeps patches through at most 16 MiB of versions. Who has an earlier version gets the whole value. A receiver gives a longer chain up.

Seen failing: patch_chain long_chains (198 patches, 90,257,310 bytes) and patch_bombs (100 patches of 8 MiB unpacked). Passing with the change, with the other tests of the crate.

--- a/crates/patch/src/history.rs
+++ b/crates/patch/src/history.rs
@@ -8,6 +8,9 @@
 
 /// Size of the patches that a history keeps. Who has an earlier version gets the whole value.
 const MAX_PATCH_BYTES: usize = 256 << 10;
+/// Size of the values to which a history's patches lead, one after the other. Unpacking them keeps the
+/// receiver from everything else.
+const MAX_UNPACKED_BYTES: usize = 16 << 20;
 
 /// One version of a value.
 #[derive(Clone, Debug)]
@@ -57,7 +60,7 @@
         let revision = former.as_ref().map_or(revision, |former| former.revision.max(revision));
         let patch = former.and_then(|former| ValuePatch::between(&former.value, &value).ok());
         match patch {
-            Some(patch) => self.push(patch),
+            Some(patch) => self.push(patch, value.len()),
             None => self.patches.clear(),
         }
         self.whole = None;
@@ -68,7 +71,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the patches don't apply.
+    /// Fails if the patches don't apply, or if the versions to which they lead are too large in all.
     pub fn preview(&self, patches: &[ValuePatch]) -> Result<Vec<u8>, PatchError> {
         let Some((first, others)) = patches.split_first() else {
             return Ok(self.value().unwrap_or_default().to_vec());
@@ -77,10 +80,17 @@
             Some(latest) => first.apply_to(latest.digest, &latest.value)?,
             None => first.apply(&[])?,
         };
-        let first = (first.digest(), value);
-        let (_, value) = others.iter().try_fold(first, |(digest, known), patch| {
-            Ok::<_, PatchError>((patch.digest(), patch.apply_to(digest, &known)?))
-        })?;
+        let mut unpacked = value.len();
+        let (mut digest, mut value) = (first.digest(), value);
+        for patch in others {
+            // Former versions may have been larger than the last one, by which the sender judges.
+            if unpacked > 2 * MAX_UNPACKED_BYTES {
+                return Err(PatchError::TooLarge);
+            }
+            value = patch.apply_to(digest, &value)?;
+            unpacked += value.len();
+            digest = patch.digest();
+        }
         Ok(value)
     }
 
@@ -107,10 +117,11 @@
         self.whole.clone().into_iter().collect()
     }
 
-    fn push(&mut self, patch: ValuePatch) {
+    /// Adds the patch to a version of `length` bytes.
+    fn push(&mut self, patch: ValuePatch, length: usize) {
         self.patches.push_back(patch);
         let mut bytes: usize = self.patches.iter().map(ValuePatch::size).sum();
-        while bytes > MAX_PATCH_BYTES {
+        while bytes > MAX_PATCH_BYTES || self.patches.len() * length > MAX_UNPACKED_BYTES {
             let Some(oldest) = self.patches.pop_front() else { break };
             bytes -= oldest.size();
         }
--- a/crates/patch/src/lib.rs
+++ b/crates/patch/src/lib.rs
@@ -34,7 +34,8 @@
 //!
 //! # Limits
 //!
-//! A value has at most 16 MiB. A history keeps the latest value, and patches of 256 KiB in all.
+//! A value has at most 16 MiB. A history keeps the latest value, and patches of 256 KiB in all that lead
+//! through 16 MiB of versions.
 
 mod budget;
 mod digest;
--- a/crates/patch/src/patch.rs
+++ b/crates/patch/src/patch.rs
@@ -21,8 +21,8 @@
     /// The patch is for another version than the one at hand.
     #[error("the patch is for version {0:?}, not for the one at hand")]
     OtherBase(Option<ValueDigest>),
-    /// The value is larger than any value can be.
-    #[error("the value is larger than {MAX_VALUE_BYTES} bytes")]
+    /// The value is larger than any value can be, or the versions that lead to it are too large in all.
+    #[error("the value, or the versions that lead to it, are too large")]
     TooLarge,
     /// What the patch leads to isn't the version that it names.
     #[error("the patch leads to another version than it names")]
--- a/crates/patch/tests/patch_chain.rs
+++ b/crates/patch/tests/patch_chain.rs
@@ -117,3 +117,33 @@
     history.replace(Revision(3), value);
     assert_eq!(history.revision(), known);
 }
+
+/// Guards against a daemon that stands still while it unpacks a value once for each of many versions that it
+/// has missed.
+#[test]
+fn long_chains() {
+    let mut leader = ValueHistory::default();
+    leader.replace(Revision(1), document(8_000, 1));
+    let follower = leader.clone();
+    for version in 2..200 {
+        leader.replace(Revision(version as u64), document(8_000, version));
+    }
+    let latest = leader.value().unwrap().to_vec();
+    let patches = leader.patches_from(follower.digest());
+    let unpacked = patches.len() * latest.len();
+    assert!(unpacked <= 16 << 20, "{} patches unpack to {unpacked} bytes", patches.len());
+    assert_eq!(follower.preview(&patches).unwrap(), latest);
+}
+
+/// Guards against a peer whose small message unpacks to gigabytes.
+#[test]
+fn patch_bombs() {
+    let (zeros, ones) = (vec![0; 8 << 20], vec![1; 8 << 20]);
+    let (there, back) =
+        (ValuePatch::between(&zeros, &ones).unwrap(), ValuePatch::between(&ones, &zeros).unwrap());
+    let mut history = ValueHistory::default();
+    history.replace(Revision(1), zeros);
+    let chain: Vec<ValuePatch> = [there, back].into_iter().cycle().take(100).collect();
+    assert!(chain.iter().map(ValuePatch::size).sum::<usize>() < 1 << 20);
+    assert!(matches!(history.preview(&chain), Err(PatchError::TooLarge)));
+}
