Hide values in the Debug output of patches and histories

Configurations hold keys. Nothing logs these types; found by the review. hidden_values passes; on the code before, the output has the bytes of the value.

--- a/crates/patch/src/history.rs
+++ b/crates/patch/src/history.rs
@@ -1,6 +1,7 @@
 //! The latest version of a value, and how to get there from earlier ones.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use base::Revision;
 
@@ -13,7 +14,7 @@
 const MAX_UNPACKED_BYTES: usize = 16 << 20;
 
 /// One version of a value.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 struct ValueVersion {
     revision: Revision,
     digest: ValueDigest,
@@ -22,9 +23,11 @@
 
 /// The latest version of a value that a daemon has, and the patches that lead to it.
 ///
+/// Its `Debug` output hides the value, which may hold secrets.
+///
 /// The revision of a version is that of the store, or a lower one if the value came from another
 /// daemon. It never exceeds that of the store, so that a later version is never taken for known.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct ValueHistory {
     latest: Option<ValueVersion>,
     /// Each patch applies to the version to which the one before it leads.
@@ -33,6 +36,16 @@
     whole: Option<ValuePatch>,
 }
 
+impl fmt::Debug for ValueHistory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ValueHistory")
+            .field("revision", &self.revision())
+            .field("digest", &self.digest())
+            .field("patches", &self.patches)
+            .finish()
+    }
+}
+
 impl ValueHistory {
     /// Returns the latest version's revision.
     pub fn revision(&self) -> Option<Revision> {
--- a/crates/patch/src/patch.rs
+++ b/crates/patch/src/patch.rs
@@ -1,5 +1,6 @@
 //! One patch, and how it is computed and applied.
 
+use std::fmt;
 use std::io::{self, Read, Write};
 
 use base64::prelude::{Engine, BASE64_STANDARD};
@@ -33,7 +34,9 @@
 }
 
 /// A version of a value, compressed against an earlier one or by itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Its `Debug` output hides the data, since values may hold secrets.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ValuePatch {
     /// Version to which the patch applies; `None` for a patch that holds the whole value.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -124,6 +127,16 @@
     }
 }
 
+impl fmt::Debug for ValuePatch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ValuePatch")
+            .field("base", &self.base)
+            .field("digest", &self.digest)
+            .field("size", &self.size())
+            .finish()
+    }
+}
+
 /// Serializes bytes as base64 text.
 mod base64_text {
     use serde::de::Error;
--- a/crates/patch/tests/patch_chain.rs
+++ b/crates/patch/tests/patch_chain.rs
@@ -147,3 +147,14 @@
     assert!(chain.iter().map(ValuePatch::size).sum::<usize>() < 1 << 20);
     assert!(matches!(history.preview(&chain), Err(PatchError::TooLarge)));
 }
+
+/// Guards against secrets of a configuration in logs and messages.
+#[test]
+fn hidden_values() {
+    let mut history = ValueHistory::default();
+    history.replace(Revision(1), b"key-of-a-team".to_vec());
+    history.replace(Revision(2), b"key-of-another".to_vec());
+    let text = format!("{history:?} {:?}", history.patches_from(None));
+    assert!(!text.contains("107, 101, 121") && !text.contains("key-of"), "{text}");
+    assert!(text.contains("size"), "{text}");
+}
