--- a/crates/lead/src/lag.rs
+++ b/crates/lead/src/lag.rs
@@ -9,6 +9,8 @@
 const REPORT_DIVISOR: u32 = 2;
 /// Pause between two reports of the same.
 const REPORT_PAUSE: Duration = Duration::from_secs(5);
+/// Pause between two counts of the daemons that are behind.
+const COUNT_PAUSE: Duration = Duration::from_secs(1);
 /// A daemon that hasn't reported for this long isn't counted.
 const STATEMENT_TTL: Duration = Duration::from_secs(10);
 
@@ -102,6 +104,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LayoutCensus {
     states: SortedMap<Name, LayoutState>,
+    counted_at: Option<Time>,
     reported_at: Option<Time>,
 }
 
@@ -139,9 +142,13 @@
     /// Returns the daemons that have been behind for at least half of `bound`, if that is to be
     /// reported.
     pub fn take_report(&mut self, now: Time, bound: Duration) -> Option<LayoutStragglers> {
-        if self.reported_at.is_some_and(|at| now.since(at) < REPORT_PAUSE) {
+        let has_paused = |at: Option<Time>, pause| at.is_none_or(|at| now.since(at) >= pause);
+        if !has_paused(self.reported_at, REPORT_PAUSE) || !has_paused(self.counted_at, COUNT_PAUSE)
+        {
             return None;
         }
+        self.counted_at = Some(now);
+        self.states.retain(|_, state| now.since(state.stated_at) < STATEMENT_TTL);
         let stragglers = self.stragglers(now, bound / REPORT_DIVISOR)?;
         self.reported_at = Some(now);
         Some(stragglers)
