Don't wait for targets' changes before those of the leader are read

A daemon with a large layout watched the targets for up to watch_wait (1.5 s) before it read changes of the leader key and of evacuations.

--- a/crates/serve/src/follow.rs
+++ b/crates/serve/src/follow.rs
@@ -103,7 +103,8 @@
             reply => return Ok(FollowedReply { reply: reply?, has_layout: true }),
         }
     }
-    let wait = if is_leading { NO_WAIT } else { wait };
+    // The other keys are read once the targets' changes are, so a change of the leader must not wait long.
+    let wait = if is_leading { NO_WAIT } else { wait.min(SHORT_WAIT) };
     let mut reply = host.store.watch(TARGET_PREFIX, after, wait).await?;
     for prefix in [DAEMON_PREFIX, EVACUATION_PREFIX] {
         reply = merge_replies(reply, host.store.watch(prefix, after, NO_WAIT).await?);
