Don't let a leader and the first reader wait for each other

The first reader asks the leader, and a leader that is no reader, or a later one, asks the first one; each could take the other's check for one in progress, for up to the bound. A leader now says that it checks only while it reads the store.

A later layout of another daemon is fetched once at a time, also for handed over requests.

--- a/crates/serve/src/layout.rs
+++ b/crates/serve/src/layout.rs
@@ -326,9 +326,10 @@
     }
     let (pause, begun_at) = (freshness.reader_pause(), boot_time());
     let (mut is_new, mut is_checked_elsewhere) = (false, false);
-    // A reader checks as soon as nobody before it does.
-    let is_reader = own_rank(host).is_some();
-    host.is_checking_layout.set(is_reader);
+    // A reader checks as soon as nobody before it does. The first one waits for the leader, which must not
+    // wait for it in turn.
+    let is_leading = host.leader_state.borrow().is_some();
+    host.is_checking_layout.set(own_rank(host).is_some() && !is_leading);
     while let Some((readers, patience)) = other_readers(host) {
         // A read that is in progress arrives sooner than one that begins now.
         let patience = if is_checked_elsewhere { host.settings.apply } else { patience };
@@ -343,8 +344,6 @@
         while let Some(answer) = answers.next().await {
             let Some(answer) = answer else { continue };
             is_checked_elsewhere |= answer.is_checking;
-            // Daemons that rely on this one rely on the same reader.
-            host.is_checking_layout.set(is_reader || is_checked_elsewhere);
             let verdict = answer.item.map(|item| apply_checked(host, &item, LayoutSource::Peer));
             is_new |= verdict == Some(LayoutVerdict::Newer);
             let checked_at = answer.age.map(|age| asked_at - age);
@@ -422,7 +421,8 @@
         Some(answer) => answer.item,
         // It may be of an earlier build.
         None => {
-            let revision = Revision(host.layout_history.borrow().revision()?.0 + 1);
+            let known = host.layout_history.borrow().revision()?;
+            let revision = Revision(known.0.saturating_add(1));
             let value = peer::fetch_layout_from(host, address, revision, limit).await?;
             Some(KeyValue { key: LAYOUT_KEY.to_owned(), value, revision })
         }
@@ -431,9 +431,13 @@
 
 /// Gets a newer layout from a daemon that is known to have one.
 pub(crate) async fn fetch_from(host: Rc<Host>, address: SocketAddr) {
+    if host.is_fetching_layout.replace(true) {
+        return;
+    }
     if let Some(item) = fetch_later(&host, address).await {
         apply_checked(&host, &item, LayoutSource::Peer);
     }
+    host.is_fetching_layout.set(false);
 }
 
 /// Applies a layout that a check has found, and returns what it was.
--- a/crates/serve/src/passing.rs
+++ b/crates/serve/src/passing.rs
@@ -40,12 +40,8 @@
     let version = host.dispatcher.borrow().version();
     if stated > version {
         let address = host.peer_book.borrow().address(&report.host);
-        if let Some(address) = address.filter(|_| !host.is_fetching_layout.replace(true)) {
-            let host = host.clone();
-            tokio::task::spawn_local(async move {
-                layout::fetch_from(host.clone(), address).await;
-                host.is_fetching_layout.set(false);
-            });
+        if let Some(address) = address {
+            tokio::task::spawn_local(layout::fetch_from(host.clone(), address));
         }
     }
     if stated >= version {
