--- a/review/harness-2/src/slow.rs
+++ b/review/harness-2/src/slow.rs
@@ -15,13 +15,15 @@
 use crate::turns::temporary_directory;
 
 const CLIENTS: usize = 4;
-/// Length of the answers, and of what a client reads before it pauses.
-const ANSWER: usize = 300_000;
-const FIRST_PART: usize = 8_000;
-const RECEIVE_BUFFER: u32 = 16_384;
-const PAUSE: Duration = Duration::from_millis(3_000);
+/// Length of an answer, and of what a client reads before it pauses.
+const ANSWER: usize = 64_000;
+const FIRST_PART: usize = 2_000;
+/// Deadline of `order-commit`.
 const TIME_LEFT: Duration = Duration::from_millis(4_000);
-/// `stableMs` and `graceS` of the deployment.
+/// Receive buffer of a client, and for how long it doesn't read.
+const RECEIVE_BUFFER: u32 = 4_096;
+const PAUSE: Duration = Duration::from_millis(3_000);
+/// `stableMs`, with some slack, and `graceS` of the deployment.
 const STABLE: Duration = Duration::from_millis(4_200);
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -56,14 +58,14 @@
     let mut broken = 0;
     for (number, client) in clients.into_iter().enumerate() {
         let attempt = attempt(number);
-        let runs: usize = servers.iter().map(|server| server.runs(&attempt)).sum();
         let Ok(Ok((got, took))) = client.await else {
             record.say(format!("{attempt}: the client could not connect"));
             return 2;
         };
+        let runs: usize = servers.iter().map(|server| server.runs(&attempt)).sum();
         let is_complete = got >= ANSWER;
         record.say(format!(
-            "{attempt}: ran {runs} times; {got} bytes of the answer arrived within {} ms: {}",
+            "{attempt}: ran {runs} times; {got} bytes of its answer arrived within {} ms: {}",
             took.as_millis(),
             if is_complete { "complete" } else { "the connection ended without a complete answer" }
         ));
@@ -113,11 +115,11 @@
 }
 
 async fn send(stream: &mut TcpStream, attempt: &str) -> std::io::Result<()> {
-    let time_left = TIME_LEFT.as_millis();
     let head = format!(
         "POST /deposit/2f HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n\
-         Mangodeal-Attempt-Id: {attempt}\r\nMangodeal-Time-Left-Ms: {time_left}\r\n\
-         Content-Length: 4\r\n\r\nbody"
+         Mangodeal-Attempt-Id: {attempt}\r\nMangodeal-Time-Left-Ms: {}\r\n\
+         Content-Length: 4\r\n\r\nbody",
+        TIME_LEFT.as_millis()
     );
     stream.write_all(head.as_bytes()).await
 }
@@ -130,15 +132,13 @@
 ) -> Result<usize, (std::io::Error, usize)> {
     let mut received = Vec::new();
     let mut has_paused = false;
-    let mut piece = vec![0; 4_096];
+    let mut piece = vec![0; 1_024];
     loop {
         let head = received.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
         let length = head.and_then(|end| {
             let head = String::from_utf8_lossy(&received[..end]).to_lowercase();
-            let line = head
-                .lines()
-                .find_map(|line| line.strip_prefix("content-length:").map(str::to_owned));
-            line?.trim().parse::<usize>().ok()
+            let line = head.lines().find_map(|line| line.strip_prefix("content-length:"))?;
+            line.trim().parse::<usize>().ok()
         });
         let got = head.map_or(0, |end| received.len() - end);
         if length.is_some_and(|length| got >= length) {
