--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -9,6 +9,7 @@
 mod slow;
 #[path = "../../../platform/tests/standin/store.rs"]
 mod store;
+mod takeover;
 mod turns;
 
 use record::Record;
@@ -26,6 +27,7 @@
     let code = runtime.block_on(async {
         match case.as_str() {
             "slow" => slow::run(&record, has_trouble).await,
+            "takeover" => takeover::run(&record, has_trouble).await,
             "turns" => turns::run(&record, has_trouble).await,
             _ => 2,
         }
--- a/review/harness-2/src/server.rs
+++ b/review/harness-2/src/server.rs
@@ -59,7 +59,8 @@
     models: BTreeMap<String, BTreeMap<String, (Instant, usize)>>,
     loading: Option<(String, Instant)>,
     sequence: u64,
-    fence: u64,
+    /// Highest fencing token seen; `None` if the server doesn't check them.
+    fence: Option<u64>,
     born_ms: u64,
     running: usize,
     orders: Vec<OrderSeen>,
@@ -116,8 +117,9 @@
             models: models.iter().map(|name| ((*name).to_owned(), BTreeMap::new())).collect(),
             loading: None,
             sequence: 0,
-            fence: 0,
-            born_ms: unix_ms(),
+            fence: Some(0),
+            // The server has been up for a while.
+            born_ms: unix_ms() - 120_000,
             running: 0,
             orders: Vec::new(),
             runs: BTreeMap::new(),
@@ -134,6 +136,11 @@
         self.inner.lock().unwrap().behaviour = behaviour;
     }
 
+    /// Makes the server accept orders whatever their fencing token.
+    pub fn ignore_fences(&self) {
+        self.inner.lock().unwrap().fence = None;
+    }
+
     /// Returns the key and the value of the server's entry in the store.
     pub fn entry(&self) -> (String, Value) {
         let mut inner = self.inner.lock().unwrap();
@@ -211,10 +218,12 @@
     }
 
     fn execute(&mut self, body: &Value, fence: u64) -> u16 {
-        if fence < self.fence {
-            return 412;
+        if let Some(highest) = &mut self.fence {
+            if fence < *highest {
+                return 412;
+            }
+            *highest = fence;
         }
-        self.fence = fence;
         let Some(model) = body["model"].as_str().map(str::to_owned) else { return 400 };
         let is_load = body["opKind"] == "load";
         let adapter = body["adapter"].as_str().map(str::to_owned);
--- a/review/harness-2/src/turns.rs
+++ b/review/harness-2/src/turns.rs
@@ -22,9 +22,9 @@
 /// The pauses differ, so that the cuts begin at other moments of the leaders' renewals.
 const PAUSE_STEP: Duration = Duration::from_millis(170);
 const CUTS: u32 = 6;
-const MODELS: [&str; 3] = ["m0", "m1", "m2"];
+pub const MODELS: [&str; 3] = ["m0", "m1", "m2"];
 const ZONES: [&str; 3] = ["regina-a", "regina-b", "saskatoon-c"];
-const BEAT: Duration = Duration::from_millis(1_200);
+pub const BEAT: Duration = Duration::from_millis(1_200);
 
 pub fn temporary_directory() -> PathBuf {
     let directory = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -173,13 +173,13 @@
     i32::from(broken > 0)
 }
 
-fn leader(store: &StandinStore) -> Option<String> {
+pub fn leader(store: &StandinStore) -> Option<String> {
     let value: Value = serde_json::from_slice(&store.value("mango/leader")?).ok()?;
     Some(value["host"].as_str()?.to_owned())
 }
 
 /// Sends streams for changing adapters, and plain requests, to one daemon.
-async fn press(record: &Record, caller: std::net::SocketAddr, daemon: usize, busy: &[AtomicBool]) {
+pub async fn press(record: &Record, caller: std::net::SocketAddr, daemon: usize, busy: &[AtomicBool]) {
     let mut calls = tokio::task::JoinSet::new();
     for number in 0.. {
         tokio::time::sleep(Duration::from_millis(50)).await;
