--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod fleet;
+mod quota;
 mod record;
 mod server;
 mod slow;
@@ -28,6 +29,7 @@
         match case.as_str() {
             "slow" => slow::run(&record, has_trouble).await,
             "takeover" => takeover::run(&record, has_trouble).await,
+            "quota" => quota::run(&record, has_trouble).await,
             "turns" => turns::run(&record, has_trouble).await,
             _ => 2,
         }
--- a/review/harness-2/src/turns.rs
+++ b/review/harness-2/src/turns.rs
@@ -179,7 +179,12 @@
 }
 
 /// Sends streams for changing adapters, and plain requests, to one daemon.
-pub async fn press(record: &Record, caller: std::net::SocketAddr, daemon: usize, busy: &[AtomicBool]) {
+pub async fn press(
+    record: &Record,
+    caller: std::net::SocketAddr,
+    daemon: usize,
+    busy: &[AtomicBool],
+) {
     let mut calls = tokio::task::JoinSet::new();
     for number in 0.. {
         tokio::time::sleep(Duration::from_millis(50)).await;
