--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -85,16 +85,17 @@
 
 impl Front {
     pub async fn start(name: &str, zone: &str, store: SocketAddr, directory: &PathBuf) -> Front {
-        Front::start_with(name, zone, store, directory, true).await
+        Front::start_with(name, zone, store, directory, (0.25, true)).await
     }
 
-    /// Like [`start`](Self::start), for a deployment whose servers check fencing tokens or don't.
+    /// Like [`start`](Self::start), for a machine with so many cores, in a deployment whose servers check
+    /// fencing tokens or don't.
     pub async fn start_with(
         name: &str,
         zone: &str,
         store: SocketAddr,
         directory: &PathBuf,
-        fences_checked: bool,
+        (cores, fences_checked): (f64, bool),
     ) -> Front {
         let mut addresses = Vec::new();
         for _ in 0..4 {
@@ -103,7 +104,7 @@
         let [caller, ready, peer, metrics] = addresses[..] else { unreachable!() };
         // What the platform makes of deploy/settings.ini.tpl for a small machine.
         let text = format!(
-            "[front]\nhost = {name}\ndomain = {zone}\ncpu_share = 0.25\nlink_mbps = 1000.0\n\
+            "[front]\nhost = {name}\ndomain = {zone}\ncpu_share = {cores}\nlink_mbps = 1000.0\n\
              caller_listen = {caller}\nready_listen = {ready}\npeer_listen = {peer}\n\
              metrics_listen = {metrics}\n\n[store]\naddress = {store}\n\n[limits]\ngrace = 8s\n\
              drain = 2000ms\napply = 2000ms\n\norder_turn = 3000ms\nfences_checked = {fences_checked}\n\
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod quota;
 mod record;
+mod roll;
 mod server;
 mod slow;
 #[path = "../../../platform/tests/standin/store.rs"]
@@ -30,6 +31,7 @@
             "slow" => slow::run(&record, has_trouble).await,
             "takeover" => takeover::run(&record, has_trouble).await,
             "quota" => quota::run(&record, has_trouble).await,
+            "roll" => roll::run(&record, has_trouble).await,
             "turns" => turns::run(&record, has_trouble).await,
             _ => 2,
         }
--- a/review/harness-2/src/takeover.rs
+++ b/review/harness-2/src/takeover.rs
@@ -48,7 +48,8 @@
     let mut fronts = Vec::new();
     for (number, zone) in ZONES.iter().enumerate() {
         let name = format!("front-{}", number + 1);
-        fronts.push(Front::start_with(&name, zone, store.address(), &directory, false).await);
+        fronts
+            .push(Front::start_with(&name, zone, store.address(), &directory, (0.25, false)).await);
     }
     for front in &fronts {
         front.wait_ready().await;
