--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -151,8 +151,8 @@
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        eprintln!("{} doesn't get ready", self.name);
-        std::process::exit(2);
+        // Unwinding ends the processes that were started.
+        panic!("{} doesn't get ready", self.name);
     }
 
     /// Sends a signal to the process, by its id.
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -14,6 +14,7 @@
 mod takeover;
 mod turns;
 
+use futures::FutureExt;
 use record::Record;
 
 fn main() {
@@ -26,7 +27,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build().unwrap();
-    let code = runtime.block_on(async {
+    let run = async {
         match case.as_str() {
             "slow" => slow::run(&record, has_trouble).await,
             "takeover" => takeover::run(&record, has_trouble).await,
@@ -35,6 +36,8 @@
             "turns" => turns::run(&record, has_trouble).await,
             _ => 2,
         }
-    });
-    std::process::exit(code);
+    };
+    // A panic means that the case couldn't run; the processes of its daemons have ended then, too.
+    let end = runtime.block_on(std::panic::AssertUnwindSafe(run).catch_unwind());
+    std::process::exit(end.unwrap_or(2));
 }
